--- /dev/null
+++ b/src/core/admission.c
@@ -0,0 +1,37 @@
+#include "core/admission.h"
+
+#define EPSILON 1e-9
+
+static gboolean
+type_fits (const FtMachineType *type, const FtJobSpec *spec)
+{
+  if (spec->types != NULL && !g_strv_contains ((const char *const *) spec->types, type->name))
+    return FALSE;
+  if (spec->zone != NULL && (type->zones == NULL || !g_strv_contains ((const char *const *) type->zones, spec->zone)))
+    return FALSE;
+  return spec->cpus <= type->cpus + EPSILON && spec->gpus <= type->gpus + EPSILON
+         && spec->memory_gb <= type->memory_gb + EPSILON;
+}
+
+FtAdmission
+ft_admission_check (const FtSettings *settings, const FtCatalog *catalog, const FtJobSpec *spec, const char **why)
+{
+  const FtTeamLimit *team = NULL;
+  for (guint i = 0; i < settings->n_teams; i++)
+    if (g_strcmp0 (settings->teams[i].name, spec->team) == 0)
+      team = &settings->teams[i];
+  *why = "unknown team";
+  if (team == NULL)
+    return FT_ADMIT_NEVER;
+  *why = "a task needs more than the team's limit";
+  if (spec->cpus > team->cpus_max + EPSILON || spec->gpus > team->gpus_max + EPSILON)
+    return FT_ADMIT_NEVER;
+  *why = "the machine types are not known yet";
+  if (catalog == NULL)
+    return FT_ADMIT_NOT_YET;
+  *why = "a task fits no allowed machine type";
+  for (guint i = 0; i < catalog->types->len; i++)
+    if (type_fits (g_ptr_array_index (catalog->types, i), spec))
+      return FT_ADMIT;
+  return FT_ADMIT_NEVER;
+}
--- /dev/null
+++ b/src/core/constants.h
@@ -0,0 +1,164 @@
+/* All constants of flintrack, each with its unit and the reason for its value.
+ * Values of a deployment (limits, leases, shares) come from the settings file;
+ * what stands here are defaults and margins that hold for every deployment. */
+#pragma once
+
+/* Microseconds in a second; all times inside the program are microseconds. */
+#define FT_SECOND 1000000LL
+
+/* ---- lease ---- */
+/* Seconds a leader may act after a renewal was sent (design default). */
+#define FT_LEASE_S 9.0
+/* Seconds between looks of a follower at the lease rows (design default). */
+#define FT_SWEEP_S 3.0
+/* Share by which a sweep is jittered, so that followers do not look in step. */
+#define FT_SWEEP_JITTER 0.25
+/* Renewals go out every lease time divided by this. */
+#define FT_RENEW_FRACTION 3.0
+/* Share by which two steady clocks may differ (protocol: 0.05 % each way, so
+ * twice that between two machines, rounded up). */
+#define FT_CLOCK_DRIFT 0.0011
+/* Seconds taken off every lease, for timers that fire late. */
+#define FT_LEASE_MARGIN_S 0.3
+/* Seconds kept off the longest hold, for timers that fire late. */
+#define FT_HOLD_MARGIN_S 2.0
+
+/* Seconds without any report, beyond the longest ordinary gap, after which a
+ * leader takes itself for cut off from the workers and gives the lease up. */
+#define FT_CUT_OFF_MARGIN_S 1.5
+/* Seconds a controller that gave the lease up leaves it to others. */
+#define FT_ABSTAIN_S 20.0
+
+/* ---- workers ---- */
+/* Seconds a worker waits for an answer to its report (protocol). */
+#define FT_WORKER_TIMEOUT_S 4.0
+/* Seconds added to a worker lease before its tasks are counted as over. */
+#define FT_WORKER_LEASE_MARGIN_S 1.0
+/* Seconds a direct command may take before it counts as unanswered. */
+#define FT_COMMAND_TIMEOUT_S 2.0
+/* Seconds without a report, beyond the longest ordinary gap, after which a
+ * machine counts as silent. */
+#define FT_SILENCE_MARGIN_S 2.0
+/* Seconds between two probes of a machine not heard since the takeover. */
+#define FT_PROBE_EVERY_S 1.0
+/* Share of the machines that may be returned for silence within the window. */
+#define FT_SILENT_RETURN_SHARE 0.2
+/* Machines that may always be returned for silence within the window. */
+#define FT_SILENT_RETURN_MIN 2
+/* Window in seconds in which the returns for silence are bounded. */
+#define FT_SILENT_RETURN_WINDOW_S 20.0
+/* Different jobs that must have failed in a row on a machine to shun it. */
+#define FT_FAULTY_JOBS 2
+/* Bits of an attempt number below the token, so that attempts rise with it. */
+#define FT_ATTEMPT_BITS 24
+
+/* ---- placement ---- */
+/* Machines with room looked at before the best is taken. */
+#define FT_SAMPLE_SIZE 64
+/* First and longest pause in seconds of a task that failed. */
+#define FT_RETRY_FIRST_S 1.0
+#define FT_RETRY_LONGEST_S 30.0
+/* Seconds after its pause during which a failed task keeps off that machine. */
+#define FT_AVOID_S 10.0
+/* Most tasks placed in one pass, so that a pass stays short. */
+#define FT_PASS_TASKS 256
+
+/* ---- fleet ---- */
+/* Seconds between two looks at what to rent and return. */
+#define FT_FLEET_EVERY_S 1.0
+/* Seconds between two reads of the machine list and of the catalog. */
+#define FT_LIST_EVERY_S 4.0
+#define FT_CATALOG_EVERY_S 60.0
+/* Seconds a spot and an ordinary machine stand idle before they are returned. */
+#define FT_IDLE_SPOT_S 60.0
+#define FT_IDLE_ORDINARY_S 25.0
+/* Idle capacity kept, as a share of what is in use. */
+#define FT_HEADROOM 0.15
+/* Seconds before a pool that refused is asked again. */
+#define FT_REFUSED_PAUSE_S 8.0
+/* A machine that boots longer than this many nominal boot times, plus the
+ * seconds below, is taken for one that never comes up. */
+#define FT_BOOT_FACTOR 3.0
+#define FT_BOOT_PLUS_S 20.0
+/* Machines asked for in one rental request (protocol: at most 50). */
+/* Least seconds charged for a machine (protocol): no earlier return saves. */
+#define FT_LEAST_CHARGED_S 60.0
+/* Idle machines returned in one look. */
+#define FT_RETURN_IDLE_MOST 2
+/* Seconds before a return that failed is tried again. */
+#define FT_RETURN_RETRY_S 1.0
+#define FT_RENT_MOST 50
+/* Machines named in one return request (protocol: at most 100). */
+#define FT_RETURN_MOST 100
+
+/* ---- jobs ---- */
+/* Tasks of one job (protocol). */
+#define FT_JOB_TASKS_MOST 100000
+/* Unfinished tasks held in memory before submissions are put off. */
+#define FT_OPEN_TASKS_MOST 1000000
+/* Tasks in one chunk of a done-set: 4096 bits are 684 characters. */
+#define FT_DONE_CHUNK 4096
+/* Longest text accepted in any field, in bytes. */
+#define FT_TEXT_MOST 128
+
+/* ---- wire and net ---- */
+/* Largest request body in bytes (protocol). */
+#define FT_BODY_MOST 65536
+/* Deepest nesting accepted in a message. */
+#define FT_NESTING_MOST 16
+/* Seconds a state request may take before it counts as unanswered. */
+#define FT_STATE_TIMEOUT_S 1.5
+/* Seconds a watch waits on the server, and we on it beyond that. */
+#define FT_WATCH_S 2.0
+#define FT_WATCH_SLACK_S 2.0
+/* Seconds a cloud request may take. */
+#define FT_CLOUD_TIMEOUT_S 5.0
+/* Share of the state limits that a leader and each follower allow themselves. */
+#define FT_LEADER_SHARE 0.5
+#define FT_FOLLOWER_SHARE 0.22
+/* Share of the cloud limit the leader allows itself. */
+#define FT_CLOUD_SHARE 0.8
+/* Requests waiting for the state service before new user requests get 503. */
+#define FT_STATE_QUEUE_MOST 64
+/* Seconds a user's request may wait for the state service in all. */
+#define FT_USER_DEADLINE_S 3.0
+/* Seconds between mesh heartbeats, and their time limit. */
+#define FT_MESH_EVERY_S 1.0
+#define FT_MESH_TIMEOUT_S 1.0
+/* Seconds after which what a peer said no longer counts. */
+#define FT_MESH_FRESH_S 3.5
+/* Seconds without a state answer after which contact counts as lost. */
+#define FT_CONTACT_LOST_S 2.0
+/* Seconds named in Retry-After. */
+#define FT_RETRY_AFTER_S 1
+/* Final states kept in memory. */
+#define FT_FINAL_CACHE 4096
+/* Share of the socket limit open connections may take. */
+#define FT_SOCKET_SHARE 0.8
+/* Milliseconds between two runs of a controller's timers. */
+#define FT_TICK_MS 100
+/* Seconds between two ticks of the scheduler. */
+#define FT_SCHEDULER_TICK_S 0.5
+/* Direct commands under way at once. */
+#define FT_DIRECT_MOST 24
+/* Cloud calls under way at once. */
+#define FT_CLOUD_CALLS_MOST 3
+/* Connections kept to one host by the client. */
+#define FT_CONNECTIONS_PER_HOST 12
+/* Seconds an unused client connection is kept. */
+#define FT_CLIENT_IDLE_S 30
+/* Bytes of a body beyond which the connection is closed unread. */
+#define FT_BODY_CUT (4 * FT_BODY_MOST)
+/* Longest pause in seconds between tries at a service that fails. */
+#define FT_BACKOFF_FIRST_S 0.15
+#define FT_BACKOFF_LONGEST_S 2.0
+/* Tries of a withdrawal that races with other changes. */
+#define FT_WITHDRAW_TRIES 3
+/* Rows asked for in one list (protocol: at most 1,000). */
+#define FT_LIST_LIMIT 1000
+/* Machines asked for in one list (protocol: at most 500). */
+#define FT_CLOUD_LIST_LIMIT 500
+/* Seconds after a takeover before missing reports count as being cut off. */
+#define FT_CUT_OFF_GRACE_S 12.0
+/* Machines that must have been heard before being cut off is considered. */
+#define FT_CUT_OFF_MACHINES 3
--- /dev/null
+++ b/src/core/fleet.c
@@ -0,0 +1,530 @@
+#include "core/fleet.h"
+
+#include <math.h>
+
+#include "core/model.h"
+
+/* One place to rent from: a type in a zone, spot or ordinary. */
+typedef struct {
+  const char *type, *zone; /* interned */
+  gboolean spot;
+  gint64 refused_until;
+  guint wanted;   /* machines to ask for next */
+  guint asked;    /* in the request under way */
+  char *booking;  /* of the request under way or to repeat; NULL if none */
+  gboolean in_flight;
+  gint64 retry_at;
+} FtPool;
+
+static void
+pool_free (FtPool *pool)
+{
+  g_free (pool->booking);
+  g_free (pool);
+}
+
+GHashTable *
+ft_fleet_pools_new (void)
+{
+  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) pool_free);
+}
+
+static FtPool *
+get_pool (FtScheduler *s, const char *type, const char *zone, gboolean spot)
+{
+  g_autofree char *key = g_strdup_printf ("%s/%s/%d", type, zone, spot);
+  FtPool *pool = g_hash_table_lookup (s->pools, key);
+  if (pool == NULL) {
+    pool = g_new0 (FtPool, 1);
+    pool->type = g_intern_string (type);
+    pool->zone = g_intern_string (zone);
+    pool->spot = spot;
+    g_hash_table_insert (s->pools, g_steal_pointer (&key), pool);
+  }
+  return pool;
+}
+
+/* ---- demand ---- */
+
+/* Machines wanted of a type, for jobs with the same constraints. */
+typedef struct {
+  const FtMachineType *type;
+  const char *zone; /* NULL: any */
+  gboolean spot;
+  double machines;
+} Need;
+
+static guint
+per_machine (const FtMachineType *type, const FtJobSpec *spec)
+{
+  double n = type->cpus / MAX (spec->cpus, 1e-6);
+  if (spec->memory_gb > 0)
+    n = MIN (n, type->memory_gb / spec->memory_gb);
+  if (spec->gpus > 0)
+    n = MIN (n, type->gpus / spec->gpus);
+  return (guint) MIN (n + 1e-6, G_MAXUINT16);
+}
+
+/* The allowed type on which a task of the job costs least. */
+static const FtMachineType *
+cheapest_type (const FtScheduler *s, const FtJobSpec *spec)
+{
+  const FtMachineType *best = NULL;
+  double best_price = INFINITY;
+  for (guint i = 0; i < s->catalog->types->len; i++) {
+    const FtMachineType *type = g_ptr_array_index (s->catalog->types, i);
+    guint n = per_machine (type, spec);
+    if (n == 0 || (spec->types != NULL && !g_strv_contains ((const char *const *) spec->types, type->name)))
+      continue;
+    if (spec->zone != NULL && !g_strv_contains ((const char *const *) type->zones, spec->zone))
+      continue;
+    double price = (spec->spot ? type->spot_price : type->price) / n;
+    if (price < best_price) {
+      best_price = price;
+      best = type;
+    }
+  }
+  return best;
+}
+
+static void
+add_need (GArray *needs, const FtMachineType *type, const char *zone, gboolean spot, double machines)
+{
+  for (guint i = 0; i < needs->len; i++) {
+    Need *need = &g_array_index (needs, Need, i);
+    if (need->type == type && need->spot == spot && g_strcmp0 (need->zone, zone) == 0) {
+      need->machines += machines;
+      return;
+    }
+  }
+  Need need = { type, zone, spot, machines };
+  g_array_append_val (needs, need);
+}
+
+static GArray *
+find_needs (FtScheduler *s)
+{
+  GArray *needs = g_array_new (FALSE, TRUE, sizeof (Need));
+  guint n_teams = s->settings->n_teams;
+  g_autofree double *room = g_new0 (double, n_teams);
+  for (guint t = 0; t < n_teams; t++)
+    room[t] = s->teams[t].limit->cpus_max - s->teams[t].cpus;
+  for (guint i = 0; i < s->order->len; i++) {
+    const FtJob *job = g_ptr_array_index (s->order, i);
+    guint t = (guint) (job->team - s->teams);
+    double tasks = job->counts[FT_TASK_QUEUED];
+    if (job->spec->cpus > 0)
+      tasks = MIN (tasks, room[t] / job->spec->cpus);
+    const FtMachineType *type = tasks > 0 ? cheapest_type (s, job->spec) : NULL;
+    if (type == NULL)
+      continue;
+    room[t] -= tasks * job->spec->cpus;
+    add_need (needs, type, job->spec->zone, job->spec->spot, tasks / per_machine (type, job->spec));
+  }
+  return needs;
+}
+
+static gboolean
+serves (const FtMachine *machine, const Need *need)
+{
+  return machine->type == need->type && (need->spot || !machine->spot)
+         && (need->zone == NULL || g_strcmp0 (need->zone, machine->zone) == 0);
+}
+
+/* Share of the machine that is free, by its scarcest resource. */
+static double
+free_share (const FtMachine *machine)
+{
+  double used = MAX (machine->cpus / machine->type->cpus, machine->memory_gb / machine->type->memory_gb);
+  return MAX (0, 1 - used);
+}
+
+typedef struct {
+  double up, free, in_use;
+  double booting;
+} Supply;
+
+static Supply
+find_supply (FtScheduler *s, const Need *need)
+{
+  Supply supply = { 0 };
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    const FtMachine *m = value;
+    if (m->type == NULL || (need != NULL && !serves (m, need)))
+      continue;
+    if (m->state == FT_MACHINE_BOOTING) {
+      /* Listed as running but never heard from: probably gone already. */
+      supply.booting += m->listed_running ? 0 : 1;
+    } else if (ft_machine_usable (s, m)) {
+      supply.up += 1;
+      supply.free += free_share (m);
+      supply.in_use += 1 - free_share (m);
+    }
+  }
+  /* Requests under way count as machines that will boot. */
+  g_hash_table_iter_init (&it, s->pools);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    const FtPool *pool = value;
+    if (need == NULL || (g_strcmp0 (pool->type, need->type->name) == 0 && (need->spot || !pool->spot)))
+      supply.booting += pool->booking != NULL ? pool->asked : 0;
+  }
+  return supply;
+}
+
+static guint
+machines_in (const FtScheduler *s, const FtPool *pool)
+{
+  guint n = 0;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    const FtMachine *m = value;
+    n += m->spot == pool->spot && g_strcmp0 (m->zone, pool->zone) == 0 && g_strcmp0 (m->type_name, pool->type) == 0;
+  }
+  return n;
+}
+
+/* The cheapest pool that has not refused of late; among equals the emptiest,
+ * so that a wave that takes one zone's spot machines takes few of ours. */
+static FtPool *
+best_pool (FtScheduler *s, const Need *need)
+{
+  FtPool *best = NULL;
+  double best_cost = INFINITY;
+  for (guint z = 0; need->type->zones != NULL && need->type->zones[z] != NULL; z++) {
+    const char *zone = need->type->zones[z];
+    if (need->zone != NULL && g_strcmp0 (zone, need->zone) != 0)
+      continue;
+    for (int spot = need->spot ? 1 : 0; spot >= 0; spot--) {
+      FtPool *pool = get_pool (s, need->type->name, zone, spot);
+      if (pool->booking != NULL || pool->refused_until > s->now)
+        continue;
+      double cost = (spot ? need->type->spot_price : need->type->price) * 1000 + machines_in (s, pool);
+      if (cost < best_cost) {
+        best_cost = cost;
+        best = pool;
+      }
+    }
+  }
+  return best;
+}
+
+static void
+rent (FtScheduler *s, const Need *need, guint count)
+{
+  FtPool *pool = best_pool (s, need);
+  if (pool == NULL || count == 0)
+    return;
+  pool->asked = MIN (count, FT_RENT_MOST);
+  /* The token makes the name unique for ever: no other leadership has it. */
+  pool->booking = g_strdup_printf ("flintrack-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, s->token, s->next_booking++);
+  pool->retry_at = s->now;
+  g_message ("rental %s: %u %s in %s%s", pool->booking, pool->asked, pool->type, pool->zone, pool->spot ? " spot" : "");
+}
+
+/* The most wanted machine type gets the idle reserve. */
+static void
+plan_rentals (FtScheduler *s)
+{
+  g_autoptr (GArray) needs = find_needs (s);
+  for (guint i = 0; i < needs->len; i++) {
+    const Need *need = &g_array_index (needs, Need, i);
+    Supply supply = find_supply (s, need);
+    double reserve = FT_HEADROOM * supply.in_use;
+    double want = need->machines + reserve - supply.free - supply.booting;
+    if (want > 0.2)
+      rent (s, need, (guint) ceil (want));
+  }
+}
+
+/* ---- returns ---- */
+
+static void
+return_machine (FtScheduler *s, FtMachine *machine, const char *why)
+{
+  g_message ("machine %s: to be returned (%s)", machine->name, why);
+  ft_machine_set_state (machine, FT_MACHINE_RETURNING);
+  machine->return_at = s->now;
+}
+
+static gboolean
+boot_failed (const FtScheduler *s, const FtMachine *machine)
+{
+  double boot = machine->type != NULL ? machine->type->boot_s : 60;
+  gint64 limit = (gint64) ((boot * FT_BOOT_FACTOR + FT_BOOT_PLUS_S) * FT_SECOND);
+  return machine->state == FT_MACHINE_BOOTING && s->now - machine->rented_at > limit;
+}
+
+/* A controller that is itself cut off must not return a healthy fleet: silence
+ * counts against a machine only while most others are heard, and only a few
+ * machines are given up within a window. */
+static gboolean
+may_give_up (FtScheduler *s)
+{
+  guint up = 0, silent = 0;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    FtMachineState state = ((FtMachine *) value)->state;
+    up += state == FT_MACHINE_UP;
+    silent += state == FT_MACHINE_SILENT;
+  }
+  if (s->now - s->silent_window_at > (gint64) (FT_SILENT_RETURN_WINDOW_S * FT_SECOND)) {
+    s->silent_window_at = s->now;
+    s->silent_returned = 0;
+  }
+  guint most = MAX (FT_SILENT_RETURN_MIN, (guint) (FT_SILENT_RETURN_SHARE * (up + silent)));
+  return silent <= up && s->silent_returned < most;
+}
+
+static void
+give_up_machines (FtScheduler *s)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    FtMachine *m = value;
+    if (m->state == FT_MACHINE_RETURNING || m->state == FT_MACHINE_GONE)
+      continue;
+    if (m->state == FT_MACHINE_SILENT && m->notice_until > 0 && s->now > m->notice_until) {
+      return_machine (s, m, "taken by the cloud");
+    } else if (m->state == FT_MACHINE_SILENT && may_give_up (s)) {
+      s->silent_returned++;
+      return_machine (s, m, "silent");
+    } else if (boot_failed (s, m)) {
+      return_machine (s, m, "did not come up");
+    } else if (m->faulty && m->accounted) {
+      return_machine (s, m, "faulty");
+    }
+  }
+}
+
+static gboolean
+returnable (const FtScheduler *s, const FtMachine *m)
+{
+  double idle_s = m->spot ? FT_IDLE_SPOT_S : FT_IDLE_ORDINARY_S;
+  return ft_machine_usable (s, m) && ft_machine_idle (m) && s->now - m->idle_since > (gint64) (idle_s * FT_SECOND)
+         && s->now - m->rented_at > (gint64) (FT_LEAST_CHARGED_S * FT_SECOND) && !m->command_in_flight;
+}
+
+static void
+return_idle (FtScheduler *s)
+{
+  Supply supply = find_supply (s, NULL);
+  double spare = supply.free - FT_HEADROOM * supply.in_use - 1;
+  for (guint n = 0; n < FT_RETURN_IDLE_MOST && spare >= 1; n++, spare--) {
+    FtMachine *worst = NULL;
+    GHashTableIter it;
+    gpointer value;
+    g_hash_table_iter_init (&it, s->machines);
+    while (g_hash_table_iter_next (&it, NULL, &value)) {
+      FtMachine *m = value;
+      if (returnable (s, m) && (worst == NULL || (worst->spot && !m->spot)))
+        worst = m;
+    }
+    if (worst == NULL)
+      return;
+    return_machine (s, worst, "idle");
+  }
+}
+
+void
+ft_fleet_tick (FtScheduler *s)
+{
+  give_up_machines (s);
+  if (!s->may_start || s->now < s->next_fleet || !s->recovered)
+    return;
+  s->next_fleet = s->now + (gint64) (FT_FLEET_EVERY_S * FT_SECOND);
+  plan_rentals (s);
+  return_idle (s);
+}
+
+/* ---- calls ---- */
+
+void
+ft_cloud_call_free (FtCloudCall *call)
+{
+  if (call == NULL)
+    return;
+  g_free (call->booking);
+  g_free (call->type);
+  g_free (call->zone);
+  if (call->names != NULL)
+    g_ptr_array_unref (call->names);
+  g_free (call);
+}
+
+static FtCloudCall *
+call_new (FtCloudOp op)
+{
+  FtCloudCall *call = g_new0 (FtCloudCall, 1);
+  call->op = op;
+  call->names = g_ptr_array_new_with_free_func (g_free);
+  return call;
+}
+
+static FtCloudCall *
+next_return (FtScheduler *s)
+{
+  FtCloudCall *call = NULL;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    FtMachine *m = value;
+    if (m->state != FT_MACHINE_RETURNING || m->return_in_flight || m->return_at > s->now)
+      continue;
+    if (call == NULL)
+      call = call_new (FT_CLOUD_RETURN);
+    if (call->names->len == FT_RETURN_MOST)
+      break;
+    m->return_in_flight = TRUE;
+    g_ptr_array_add (call->names, g_strdup (m->name));
+  }
+  return call;
+}
+
+FtCloudCall *
+ft_scheduler_next_cloud (FtScheduler *s, gint64 now)
+{
+  s->now = now;
+  if (!s->may_start)
+    return NULL;
+  FtCloudCall *call = next_return (s);
+  if (call != NULL)
+    return call;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, s->pools);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    FtPool *pool = value;
+    if (pool->booking == NULL || pool->in_flight || pool->retry_at > now)
+      continue;
+    pool->in_flight = TRUE;
+    call = call_new (FT_CLOUD_RENT);
+    call->booking = g_strdup (pool->booking);
+    call->type = g_strdup (pool->type);
+    call->zone = g_strdup (pool->zone);
+    call->spot = pool->spot;
+    call->count = pool->asked;
+    return call;
+  }
+  return NULL;
+}
+
+static void
+rented (FtScheduler *s, FtPool *pool, const FtCloudCall *call)
+{
+  for (guint i = 0; i < call->names->len; i++) {
+    const char *name = g_ptr_array_index (call->names, i);
+    if (g_hash_table_contains (s->machines, name) || g_hash_table_contains (s->gone, name))
+      continue;
+    FtMachine *m = ft_machine_new (s, name, NULL, pool->type, pool->zone, pool->spot);
+    m->accounted = TRUE; /* it has never been sent a command */
+    g_hash_table_insert (s->machines, m->name, m);
+    g_message ("machine %s: rented by %s", name, call->booking);
+  }
+  if (call->names->len < pool->asked)
+    pool->refused_until = s->now + (gint64) (FT_REFUSED_PAUSE_S * FT_SECOND);
+  g_clear_pointer (&pool->booking, g_free);
+}
+
+static void
+rent_done (FtScheduler *s, const FtCloudCall *call, FtCloudResult result)
+{
+  FtPool *pool = get_pool (s, call->type, call->zone, call->spot);
+  pool->in_flight = FALSE;
+  if (g_strcmp0 (pool->booking, call->booking) != 0)
+    return;
+  if (result == FT_CLOUD_OK) {
+    rented (s, pool, call);
+  } else if (result == FT_CLOUD_REFUSED) {
+    pool->refused_until = s->now + (gint64) (FT_REFUSED_PAUSE_S * FT_SECOND);
+    g_clear_pointer (&pool->booking, g_free);
+  } else {
+    /* Perhaps carried out: the same booking is repeated until it is answered. */
+    pool->retry_at = s->now + FT_SECOND;
+  }
+  s->next_fleet = s->now;
+}
+
+static void
+return_done (FtScheduler *s, const FtCloudCall *call, FtCloudResult result)
+{
+  for (guint i = 0; i < call->names->len; i++) {
+    FtMachine *m = g_hash_table_lookup (s->machines, g_ptr_array_index (call->names, i));
+    if (m == NULL)
+      continue;
+    m->return_in_flight = FALSE;
+    m->return_at = s->now + (gint64) (FT_RETURN_RETRY_S * FT_SECOND);
+    if (result == FT_CLOUD_OK && m->state != FT_MACHINE_GONE)
+      ft_machine_gone (s, m, "returned");
+  }
+  ft_recovery_tick (s);
+}
+
+void
+ft_scheduler_cloud_done (FtScheduler *s, const FtCloudCall *call, FtCloudResult result, gint64 now)
+{
+  s->now = now;
+  if (call->op == FT_CLOUD_RENT)
+    rent_done (s, call, result);
+  else
+    return_done (s, call, result);
+}
+
+/* ---- the cloud's list ---- */
+
+static void
+listed_new (FtScheduler *s, const FtListedMachine *entry)
+{
+  if (entry->state == FT_LISTED_FAILED)
+    return;
+  FtMachine *m = ft_machine_new (s, entry->name, entry->addr, entry->type, entry->zone, entry->spot);
+  m->rented_at = s->now - (gint64) (entry->age_s * FT_SECOND);
+  m->accounted = TRUE; /* in no roster: never sent a command */
+  m->listed_running = entry->state == FT_LISTED_RUNNING;
+  g_hash_table_insert (s->machines, m->name, m);
+  g_message ("machine %s: found in the list", m->name);
+}
+
+static void
+listed_known (FtScheduler *s, FtMachine *m, const FtListedMachine *entry)
+{
+  if (entry->state == FT_LISTED_FAILED && m->state != FT_MACHINE_GONE) {
+    /* It stopped on its own and comes back no more. */
+    if (m->state != FT_MACHINE_RETURNING)
+      return_machine (s, m, "failed");
+    ft_machine_end_session (s, m);
+    m->accounted = TRUE;
+  }
+  if (m->addr == NULL && entry->addr != NULL)
+    m->addr = g_strdup (entry->addr);
+}
+
+void
+ft_scheduler_listed (FtScheduler *s, GArray *list, gint64 now)
+{
+  s->now = now;
+  if (!s->loaded)
+    return; /* the roster is not read: a listed machine may hold tasks */
+  /* The list lags and may go back: it adds machines and tells of failed ones;
+   * that a machine is missing from it proves nothing. */
+  for (guint i = 0; i < list->len; i++) {
+    const FtListedMachine *entry = &g_array_index (list, FtListedMachine, i);
+    if (g_hash_table_contains (s->gone, entry->name))
+      continue;
+    FtMachine *m = g_hash_table_lookup (s->machines, entry->name);
+    if (m == NULL)
+      listed_new (s, entry);
+    else
+      listed_known (s, m, entry);
+  }
+  ft_recovery_tick (s);
+}
--- /dev/null
+++ b/src/core/job.c
@@ -0,0 +1,89 @@
+#include "core/model.h"
+
+FtJob *
+ft_job_new (FtJobSpec *spec, FtTeam *team, guint64 stamp, FtTaskState initial)
+{
+  FtJob *job = g_new0 (FtJob, 1);
+  job->spec = spec;
+  job->team = team;
+  job->stamp = stamp;
+  job->tasks = g_new0 (FtTask, spec->tasks);
+  for (guint i = 0; i < spec->tasks; i++)
+    job->tasks[i].state = initial;
+  job->counts[initial] = spec->tasks;
+  if (initial == FT_TASK_UNKNOWN && team != NULL) {
+    team->unknown_cpus += spec->cpus * spec->tasks;
+    team->unknown_gpus += spec->gpus * spec->tasks;
+  }
+  job->written = g_hash_table_new (g_direct_hash, g_direct_equal);
+  job->dirty = g_hash_table_new (g_direct_hash, g_direct_equal);
+  return job;
+}
+
+void
+ft_job_free (FtJob *job)
+{
+  if (job == NULL)
+    return;
+  g_hash_table_unref (job->written);
+  g_hash_table_unref (job->dirty);
+  g_free (job->tasks);
+  ft_job_spec_free (job->spec);
+  g_free (job);
+}
+
+/* The one place where a job's state changes. */
+gboolean
+ft_job_set_state (FtJob *job, FtJobState to)
+{
+  static const char *const names[] = { "open", "withdrawn", "closed" };
+  if (job->state == to)
+    return TRUE;
+  if (job->state == FT_JOB_CLOSED || to == FT_JOB_OPEN) {
+    g_warning ("job %s: refused move %s -> %s", job->spec->ref, names[job->state], names[to]);
+    return FALSE;
+  }
+  g_message ("job %s: %s -> %s", job->spec->ref, names[job->state], names[to]);
+  job->state = to;
+  return TRUE;
+}
+
+guint
+ft_job_live (const FtJob *job)
+{
+  return job->counts[FT_TASK_STARTING] + job->counts[FT_TASK_FETCHING] + job->counts[FT_TASK_RUNNING]
+         + job->counts[FT_TASK_SAVING];
+}
+
+guint
+ft_job_finished (const FtJob *job)
+{
+  return job->counts[FT_TASK_FINISHED] + job->counts[FT_TASK_DONE];
+}
+
+void
+ft_job_mark_dirty (FtJob *job, guint index)
+{
+  g_hash_table_add (job->dirty, GUINT_TO_POINTER (index / FT_DONE_CHUNK));
+}
+
+guint
+ft_job_chunks (const FtJob *job)
+{
+  return (job->spec->tasks + FT_DONE_CHUNK - 1) / FT_DONE_CHUNK;
+}
+
+/* The finished tasks of a chunk as a bitmap in base64. */
+char *
+ft_job_chunk_bits (const FtJob *job, guint chunk)
+{
+  guint first = chunk * FT_DONE_CHUNK;
+  guint n = MIN (FT_DONE_CHUNK, job->spec->tasks - first);
+  g_autofree guchar *bits = g_new0 (guchar, (n + 7) / 8);
+  for (guint i = 0; i < n; i++) {
+    FtTaskState state = job->tasks[first + i].state;
+    if (state == FT_TASK_FINISHED || state == FT_TASK_DONE)
+      bits[i / 8] |= (guchar) (1u << (i % 8));
+  }
+  return g_base64_encode (bits, (n + 7) / 8);
+}
--- /dev/null
+++ b/src/core/lease.c
@@ -0,0 +1,289 @@
+#include "core/lease.h"
+
+#include "core/constants.h"
+
+struct _FtLease {
+  char *member;
+  guint64 incarnation;
+  gint64 lease_us, sweep_us, hold_us;
+  GRand *random;
+  FtLeaseState state;
+
+  FtLeaseRows seen;
+  gint64 unrenewed_since; /* when the present rows were first seen */
+  gboolean sighted;
+  gint64 next_sweep;
+  gint64 abstain_until;
+
+  guint64 token;       /* ours, while acquiring or holding */
+  guint64 fence_stamp; /* of our acquisition */
+  gint64 valid_until;
+  gint64 last_contact; /* when the last renewal that succeeded was sent */
+  gint64 next_renewal;
+};
+
+static const char *const state_names[] = { "following", "acquiring", "holding", "lapsed" };
+
+void
+ft_lease_rows_clear (FtLeaseRows *rows)
+{
+  g_clear_pointer (&rows->holder, g_free);
+}
+
+FtLease *
+ft_lease_new (const char *member, guint64 incarnation, gint64 lease_us, gint64 sweep_us, gint64 hold_us, guint32 seed)
+{
+  FtLease *lease = g_new0 (FtLease, 1);
+  lease->member = g_strdup (member);
+  lease->incarnation = incarnation;
+  lease->lease_us = lease_us;
+  lease->sweep_us = sweep_us;
+  lease->hold_us = hold_us;
+  lease->random = g_rand_new_with_seed (seed);
+  return lease;
+}
+
+void
+ft_lease_free (FtLease *lease)
+{
+  if (lease == NULL)
+    return;
+  ft_lease_rows_clear (&lease->seen);
+  g_rand_free (lease->random);
+  g_free (lease->member);
+  g_free (lease);
+}
+
+const char *
+ft_lease_state_name (FtLeaseState state)
+{
+  return state_names[state];
+}
+
+FtLeaseState
+ft_lease_state (const FtLease *lease)
+{
+  return lease->state;
+}
+
+static gboolean
+move_allowed (FtLeaseState from, FtLeaseState to)
+{
+  switch (to) {
+  case FT_LEASE_FOLLOWING:
+    return TRUE;
+  case FT_LEASE_ACQUIRING:
+    return from == FT_LEASE_FOLLOWING;
+  case FT_LEASE_HOLDING:
+    return from == FT_LEASE_ACQUIRING || from == FT_LEASE_LAPSED;
+  case FT_LEASE_LAPSED:
+    return from == FT_LEASE_HOLDING;
+  }
+  return FALSE;
+}
+
+/* The one place where the state changes. */
+static gboolean
+set_state (FtLease *lease, FtLeaseState to)
+{
+  if (lease->state == to)
+    return TRUE;
+  if (!move_allowed (lease->state, to)) {
+    g_warning ("lease %s: refused move %s -> %s", lease->member, state_names[lease->state], state_names[to]);
+    return FALSE;
+  }
+  g_message ("lease %s: %s -> %s token %" G_GUINT64_FORMAT, lease->member, state_names[lease->state],
+             state_names[to], lease->token);
+  lease->state = to;
+  return TRUE;
+}
+
+static void
+plan_sweep (FtLease *lease, gint64 now)
+{
+  double jitter = g_rand_double_range (lease->random, 1 - FT_SWEEP_JITTER, 1 + FT_SWEEP_JITTER);
+  lease->next_sweep = now + (gint64) (lease->sweep_us * jitter);
+}
+
+void
+ft_lease_observe (FtLease *lease, gint64 now, const FtLeaseRows *rows)
+{
+  gboolean same = lease->sighted && rows->fence_stamp == lease->seen.fence_stamp
+                  && rows->renewal_stamp == lease->seen.renewal_stamp;
+  if (!same) {
+    lease->unrenewed_since = now;
+    ft_lease_rows_clear (&lease->seen);
+    lease->seen = *rows;
+    lease->seen.holder = g_strdup (rows->holder);
+  }
+  lease->sighted = TRUE;
+  plan_sweep (lease, now);
+  gboolean leading = lease->state == FT_LEASE_HOLDING || lease->state == FT_LEASE_LAPSED;
+  if (leading && rows->fence_stamp != lease->fence_stamp && rows->token > lease->token)
+    ft_lease_lost (lease, now);
+}
+
+void
+ft_lease_blind (FtLease *lease, gint64 now)
+{
+  /* While we cannot see the rows, the holder may be unable to renew them. */
+  lease->unrenewed_since = now;
+  plan_sweep (lease, now);
+}
+
+gboolean
+ft_lease_sweep_due (const FtLease *lease, gint64 now)
+{
+  return lease->state == FT_LEASE_FOLLOWING && now >= lease->next_sweep;
+}
+
+static gboolean
+holder_is_self (const FtLease *lease)
+{
+  /* One process runs under a member's name. If the fence names us and we do
+   * not lead, its holder is our dead predecessor or an acquisition of our own
+   * that got no answer; either way nobody acts under it. */
+  return g_strcmp0 (lease->seen.holder, lease->member) == 0;
+}
+
+gboolean
+ft_lease_acquire_due (const FtLease *lease, gint64 now)
+{
+  if (lease->state != FT_LEASE_FOLLOWING || !lease->sighted)
+    return FALSE;
+  if (now < lease->abstain_until)
+    return FALSE;
+  if (lease->seen.fence_stamp == 0 || holder_is_self (lease) || lease->seen.released)
+    return TRUE;
+  return now - lease->unrenewed_since > (gint64) (lease->lease_us * (1 + FT_CLOCK_DRIFT));
+}
+
+FtLeaseClaim
+ft_lease_claim (FtLease *lease, gint64 now)
+{
+  FtLeaseClaim claim = { .token = lease->seen.token + 1,
+                         .fence_stamp = lease->seen.fence_stamp,
+                         .renewal_stamp = lease->seen.renewal_stamp,
+                         .check_renewal = !holder_is_self (lease) };
+  lease->token = claim.token;
+  lease->valid_until = now;
+  set_state (lease, FT_LEASE_ACQUIRING);
+  return claim;
+}
+
+static void
+extend (FtLease *lease, gint64 sent_at)
+{
+  gint64 margin = (gint64) (FT_LEASE_MARGIN_S * FT_SECOND);
+  lease->valid_until = MAX (lease->valid_until, sent_at + (gint64) (lease->lease_us * (1 - FT_CLOCK_DRIFT)) - margin);
+  lease->last_contact = MAX (lease->last_contact, sent_at);
+  lease->next_renewal = sent_at + (gint64) (lease->lease_us / FT_RENEW_FRACTION);
+}
+
+void
+ft_lease_acquired (FtLease *lease, gint64 sent_at, guint64 stamp)
+{
+  if (!set_state (lease, FT_LEASE_HOLDING))
+    return;
+  lease->fence_stamp = stamp;
+  lease->last_contact = 0;
+  extend (lease, sent_at);
+}
+
+void
+ft_lease_claim_failed (FtLease *lease, gint64 now)
+{
+  lease->sighted = FALSE;
+  lease->next_sweep = now;
+  lease->token = 0;
+  set_state (lease, FT_LEASE_FOLLOWING);
+}
+
+gboolean
+ft_lease_renew_due (const FtLease *lease, gint64 now)
+{
+  return (lease->state == FT_LEASE_HOLDING || lease->state == FT_LEASE_LAPSED) && now >= lease->next_renewal;
+}
+
+void
+ft_lease_renew_sent (FtLease *lease, gint64 now)
+{
+  lease->next_renewal = now + (gint64) (lease->lease_us / FT_RENEW_FRACTION);
+}
+
+void
+ft_lease_renewed (FtLease *lease, gint64 sent_at)
+{
+  if (lease->state != FT_LEASE_HOLDING && lease->state != FT_LEASE_LAPSED)
+    return;
+  /* The renewal was conditional on our fence: nobody acquired in between, so a
+   * lapsed holder may go on where it stopped. */
+  extend (lease, sent_at);
+  if (lease->state == FT_LEASE_LAPSED)
+    set_state (lease, FT_LEASE_HOLDING);
+}
+
+void
+ft_lease_renew_failed (FtLease *lease, gint64 now)
+{
+  lease->next_renewal = now + (gint64) (g_rand_double_range (lease->random, 0.2, 0.5) * FT_SECOND);
+}
+
+void
+ft_lease_lost (FtLease *lease, gint64 now)
+{
+  lease->token = 0;
+  lease->fence_stamp = 0;
+  lease->valid_until = 0;
+  lease->sighted = FALSE;
+  lease->next_sweep = now;
+  set_state (lease, FT_LEASE_FOLLOWING);
+}
+
+void
+ft_lease_released (FtLease *lease, gint64 now)
+{
+  lease->abstain_until = now + (gint64) (FT_ABSTAIN_S * FT_SECOND);
+  ft_lease_lost (lease, now);
+}
+
+void
+ft_lease_tick (FtLease *lease, gint64 now)
+{
+  if (lease->state == FT_LEASE_HOLDING && now >= lease->valid_until)
+    set_state (lease, FT_LEASE_LAPSED);
+}
+
+gboolean
+ft_lease_may_start (const FtLease *lease, gint64 now)
+{
+  return lease->state == FT_LEASE_HOLDING && now < lease->valid_until;
+}
+
+gboolean
+ft_lease_may_answer (const FtLease *lease, gint64 now, gint64 last_watch)
+{
+  if (lease->state != FT_LEASE_HOLDING && lease->state != FT_LEASE_LAPSED)
+    return FALSE;
+  /* Withdrawals reach us through the watch: the hold counts from the older of
+   * the last renewal and the last sight of the watch. */
+  return now < MIN (lease->last_contact, last_watch) + lease->hold_us;
+}
+
+guint64
+ft_lease_token (const FtLease *lease)
+{
+  return lease->token;
+}
+
+guint64
+ft_lease_fence_stamp (const FtLease *lease)
+{
+  return lease->fence_stamp;
+}
+
+const char *
+ft_lease_holder (const FtLease *lease)
+{
+  return lease->seen.holder;
+}
--- /dev/null
+++ b/src/core/machine.c
@@ -0,0 +1,237 @@
+#include "core/model.h"
+
+static const char *const names[] = { "booting", "up", "silent", "returning", "gone" };
+
+static void
+attempt_free (FtAttempt *attempt)
+{
+  g_free (attempt->job_ref);
+  g_free (attempt);
+}
+
+FtMachine *
+ft_machine_new (FtScheduler *s, const char *name, const char *addr, const char *type, const char *zone, gboolean spot)
+{
+  FtMachine *machine = g_new0 (FtMachine, 1);
+  machine->name = g_strdup (name);
+  machine->addr = g_strdup (addr);
+  machine->type_name = g_strdup (type);
+  machine->zone = g_strdup (zone);
+  machine->spot = spot;
+  machine->type = ft_catalog_find (s->catalog, type);
+  machine->rented_at = machine->idle_since = s->now;
+  machine->attempts = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, (GDestroyNotify) attempt_free);
+  machine->images = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  return machine;
+}
+
+void
+ft_machine_free (FtMachine *machine)
+{
+  g_hash_table_unref (machine->attempts);
+  g_hash_table_unref (machine->images);
+  g_free (machine->name);
+  g_free (machine->addr);
+  g_free (machine->type_name);
+  g_free (machine->zone);
+  g_free (machine);
+}
+
+const char *
+ft_machine_state_name (FtMachineState state)
+{
+  return names[state];
+}
+
+/* The one place where a machine's state changes. */
+gboolean
+ft_machine_set_state (FtMachine *machine, FtMachineState to)
+{
+  FtMachineState from = machine->state;
+  if (from == to)
+    return TRUE;
+  /* What is being returned comes back to no other state; gone is the end. */
+  if (from == FT_MACHINE_GONE || (from == FT_MACHINE_RETURNING && to != FT_MACHINE_GONE) || to == FT_MACHINE_BOOTING) {
+    g_warning ("machine %s: refused move %s -> %s", machine->name, names[from], names[to]);
+    return FALSE;
+  }
+  g_message ("machine %s: %s -> %s", machine->name, names[from], names[to]);
+  machine->state = to;
+  return TRUE;
+}
+
+gboolean
+ft_machine_usable (const FtScheduler *s, const FtMachine *machine)
+{
+  return machine->state == FT_MACHINE_UP && machine->in_roster && machine->accounted && machine->type != NULL
+         && !machine->drained && !machine->faulty && machine->notice_until == 0
+         && machine->session > machine->lapsed_session && s->now - machine->last_report < 3 * FT_SECOND + (gint64) (s->settings->report_s * 1.25 * FT_SECOND);
+}
+
+gboolean
+ft_machine_allowed (const FtMachine *machine, const FtJobSpec *spec)
+{
+  if (machine->spot && !spec->spot)
+    return FALSE;
+  if (spec->types != NULL && !g_strv_contains ((const char *const *) spec->types, machine->type_name))
+    return FALSE;
+  return spec->zone == NULL || g_strcmp0 (spec->zone, machine->zone) == 0;
+}
+
+static guint
+fits (double free_amount, double each)
+{
+  if (each <= 0)
+    return G_MAXUINT16;
+  return free_amount <= 0 ? 0 : (guint) MIN (free_amount / each + 1e-6, G_MAXUINT16);
+}
+
+/* How many tasks of this kind the machine has room for. */
+guint
+ft_machine_room (const FtMachine *machine, const FtJobSpec *spec)
+{
+  const FtMachineType *type = machine->type;
+  if (type == NULL)
+    return 0;
+  guint n = fits (type->cpus - machine->cpus, spec->cpus);
+  n = MIN (n, fits (type->memory_gb - machine->memory_gb, spec->memory_gb));
+  return MIN (n, fits (type->gpus - machine->gpus, spec->gpus));
+}
+
+/* TRUE if nothing is, or may still come to be, on the machine. */
+gboolean
+ft_machine_idle (const FtMachine *machine)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, machine->attempts);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    const FtAttempt *a = value;
+    /* A finished task whose result is not committed needs its machine too. */
+    if (!a->exited || (a->job != NULL && a->bound))
+      return FALSE;
+  }
+  return TRUE;
+}
+
+FtAttempt *
+ft_attempt_new (FtMachine *machine, FtJob *job, const char *ref, guint index, guint64 id)
+{
+  FtAttempt *a = g_new0 (FtAttempt, 1);
+  a->id = id;
+  a->job = job;
+  a->job_ref = g_strdup (ref);
+  a->index = index;
+  a->machine = machine;
+  a->session = machine->session;
+  if (job != NULL) {
+    a->team = job->team;
+    a->cpus = job->spec->cpus;
+    a->gpus = job->spec->gpus;
+    a->memory_gb = job->spec->memory_gb;
+  }
+  g_hash_table_insert (machine->attempts, &a->id, a);
+  return a;
+}
+
+static void
+count (FtAttempt *a, double sign)
+{
+  a->machine->cpus += sign * a->cpus;
+  a->machine->gpus += sign * a->gpus;
+  a->machine->memory_gb += sign * a->memory_gb;
+  if (a->team != NULL) {
+    a->team->cpus += sign * a->cpus;
+    a->team->gpus += sign * a->gpus;
+  }
+}
+
+void
+ft_attempt_hold (FtAttempt *attempt)
+{
+  if (!attempt->holds)
+    count (attempt, 1);
+  attempt->holds = TRUE;
+}
+
+void
+ft_attempt_release (FtAttempt *attempt)
+{
+  if (attempt->holds)
+    count (attempt, -1);
+  attempt->holds = FALSE;
+}
+
+void
+ft_attempt_bind (FtAttempt *attempt, FtTaskState state)
+{
+  FtTask *task = &attempt->job->tasks[attempt->index];
+  g_return_if_fail (task->attempt == NULL);
+  if (!ft_task_set_state (attempt->job, attempt->index, state))
+    return;
+  task->attempt = attempt;
+  attempt->bound = TRUE;
+}
+
+static void
+unbind (FtAttempt *attempt)
+{
+  if (!attempt->bound)
+    return;
+  FtJob *job = attempt->job;
+  FtTask *task = &job->tasks[attempt->index];
+  attempt->bound = FALSE;
+  task->attempt = NULL;
+  if (task->state == FT_TASK_FINISHED || task->state == FT_TASK_DONE)
+    return;
+  ft_task_set_state (job, attempt->index, job->state == FT_JOB_OPEN ? FT_TASK_QUEUED : FT_TASK_DROPPED);
+}
+
+void
+ft_attempt_want_stop (FtAttempt *attempt, double grace_s)
+{
+  if (attempt->stop_wanted && attempt->grace_s <= grace_s)
+    return;
+  attempt->stop_wanted = TRUE;
+  attempt->stop_sent = FALSE;
+  attempt->grace_s = grace_s;
+}
+
+void
+ft_attempt_over (FtScheduler *s, FtAttempt *attempt)
+{
+  FtMachine *machine = attempt->machine;
+  ft_attempt_release (attempt);
+  unbind (attempt);
+  s->dirty = TRUE;
+  if (ft_machine_idle (machine))
+    machine->idle_since = s->now;
+  if (!(attempt->exited && attempt->listed))
+    g_hash_table_remove (machine->attempts, &attempt->id);
+}
+
+/* Everything that ran in the sessions so far is over. */
+void
+ft_machine_end_session (FtScheduler *s, FtMachine *machine)
+{
+  g_autoptr (GList) all = g_hash_table_get_values (machine->attempts);
+  for (GList *l = all; l != NULL; l = l->next) {
+    FtAttempt *a = l->data;
+    a->listed = FALSE;
+    ft_attempt_over (s, a);
+  }
+  machine->lapsed_session = MAX (machine->lapsed_session, machine->session);
+}
+
+void
+ft_machine_gone (FtScheduler *s, FtMachine *machine, const char *why)
+{
+  g_message ("machine %s: gone (%s)", machine->name, why);
+  ft_machine_end_session (s, machine);
+  machine->accounted = TRUE;
+  ft_machine_set_state (machine, FT_MACHINE_GONE);
+  g_hash_table_add (s->gone, g_strdup (machine->name));
+  if (machine->in_roster || machine->roster_in_flight)
+    g_queue_push_tail (&s->roster_drop, g_strdup (machine->name));
+  s->dirty = TRUE;
+}
--- /dev/null
+++ b/src/core/model.h
@@ -0,0 +1,190 @@
+/* The core's own data model, for the core's modules only. Everything here
+ * belongs to one FtScheduler and dies with it, that is with the leadership. */
+#pragma once
+#include "core/constants.h"
+#include "core/types.h"
+
+typedef struct _FtJob FtJob;
+typedef struct _FtTeam FtTeam;
+typedef struct _FtMachine FtMachine;
+typedef struct _FtAttempt FtAttempt;
+
+typedef enum {
+  FT_TASK_UNKNOWN,  /* after a takeover: may be on a machine not yet heard from */
+  FT_TASK_QUEUED,   /* on no machine */
+  FT_TASK_STARTING, /* bound; the start is decided, no report shows it yet */
+  FT_TASK_FETCHING,
+  FT_TASK_RUNNING,
+  FT_TASK_SAVING,
+  FT_TASK_FINISHED, /* reported done, not committed yet */
+  FT_TASK_DONE,     /* done and committed */
+  FT_TASK_DROPPED,  /* its job was withdrawn and it is on no machine */
+} FtTaskState;
+
+typedef struct {
+  guint8 state; /* FtTaskState; changed by ft_task_set_state() only */
+  guint8 fails;
+  gint64 not_before;
+  FtAttempt *attempt; /* the binding, owned by its machine; NULL when unbound */
+  FtMachine *avoid;   /* where it failed last; compared only */
+} FtTask;
+
+typedef enum {
+  FT_JOB_OPEN,
+  FT_JOB_WITHDRAWN, /* tasks are being stopped */
+  FT_JOB_CLOSED,    /* final state committed; about to be freed */
+} FtJobState;
+
+struct _FtJob {
+  FtJobSpec *spec;
+  FtJobState state;
+  guint64 stamp; /* revision of the job's row while it is open */
+  FtTeam *team;
+  FtTask *tasks;
+  guint counts[FT_TASK_DROPPED + 1];
+  guint scan_from;     /* no queued task has a lower index */
+  GHashTable *written; /* chunks of the done-set that are in the store */
+  GHashTable *dirty;   /* chunks with finished, uncommitted tasks */
+  gboolean final_in_flight, conflicted;
+  gint64 accepted_at, deadline_at; /* deadline 0: none */
+  gboolean guaranteed;
+  guint errors;
+  gint64 not_before;
+  gint64 pass_blocked; /* pass in which no machine had room */
+};
+
+struct _FtTeam {
+  const FtTeamLimit *limit; /* borrowed */
+  double cpus, gpus;        /* bound on machines */
+  double unknown_cpus, unknown_gpus;
+};
+
+typedef enum {
+  FT_MACHINE_BOOTING,   /* rented, not heard from */
+  FT_MACHINE_UP,
+  FT_MACHINE_SILENT,    /* was heard, now is not */
+  FT_MACHINE_RETURNING, /* gets no starts; the cloud is being told */
+  FT_MACHINE_GONE,
+} FtMachineState;
+
+struct _FtMachine {
+  char *name, *addr, *zone, *type_name;
+  const FtMachineType *type; /* of the scheduler's catalog; NULL if not in it */
+  gboolean spot;
+  FtMachineState state; /* changed by ft_machine_set_state() only */
+  guint64 session, sequence;
+  guint64 lapsed_session; /* sessions up to here are over */
+  gint64 rented_at, up_at, last_report, last_answer, idle_since;
+  gint64 notice_until;    /* 0: none */
+  gint64 probe_at;
+  gint64 return_at;       /* earliest next try of a return */
+  gboolean accounted;     /* heard under our token, or certainly empty */
+  gboolean in_roster, roster_in_flight, roster_wanted;
+  gboolean drained;       /* by an operator */
+  gboolean faulty;
+  gboolean listed_running;
+  gboolean command_in_flight, return_in_flight;
+  gboolean replied;       /* reported at least once under our token */
+  guint failing_jobs;
+  FtJob *last_failed;     /* compared only */
+  double cpus, gpus, memory_gb; /* taken by attempts not known to be over */
+  GHashTable *attempts;   /* attempt number -> FtAttempt, owned */
+  GHashTable *images;     /* names known to be cached */
+};
+
+struct _FtAttempt {
+  guint64 id;
+  FtJob *job; /* NULL: the job is not open (any more) */
+  char *job_ref;
+  guint index;
+  FtMachine *machine;
+  guint64 session;
+  gboolean bound;    /* task->attempt is this */
+  gboolean holds;    /* counted in the machine's and the team's use */
+  FtTeam *team;
+  double cpus, gpus, memory_gb;
+  gboolean shown, listed, exited, running;
+  gboolean stop_wanted, stop_sent, forget_ok;
+  double grace_s;
+  guint64 sent_sequence;      /* report whose answer carried the start; 0: none */
+  gboolean direct_in_flight;  /* a direct start is on its way */
+  gboolean direct_unanswered; /* a direct start may still be executed, late */
+  gint64 placed_at, running_at;
+};
+
+typedef struct _FtScheduler FtScheduler;
+
+struct _FtScheduler {
+  const FtSettings *settings;
+  FtCatalog *catalog;
+  guint64 token;
+  gint64 now, took_over_at, hold_us;
+  GRand *random;
+  guint64 next_attempt, next_booking;
+  guint sample_size;
+  gboolean loaded, recovered, may_start, dirty;
+  gint64 pass;
+  FtTeam *teams;
+  GHashTable *jobs;     /* ref -> FtJob, owned */
+  GHashTable *machines; /* name -> FtMachine, owned */
+  GHashTable *gone;     /* names returned or failed */
+  GHashTable *pools;    /* "type/zone/kind" -> FtPool, owned */
+  GPtrArray *order;     /* scratch: jobs in order of placement */
+  GQueue roster_drop;   /* names whose roster rows go */
+  GQueue closing;       /* FtWrite left over: chunk rows to delete */
+  gint64 next_fleet;
+  gint64 silent_window_at;
+  guint silent_returned;
+  guint open_tasks;
+};
+
+/* task.c */
+const char *ft_task_state_name (FtTaskState state);
+gboolean ft_task_set_state (FtJob *job, guint index, FtTaskState to);
+
+/* job.c */
+FtJob *ft_job_new (FtJobSpec *spec, FtTeam *team, guint64 stamp, FtTaskState initial);
+void ft_job_free (FtJob *job);
+gboolean ft_job_set_state (FtJob *job, FtJobState to);
+guint ft_job_live (const FtJob *job); /* tasks bound to machines */
+guint ft_job_finished (const FtJob *job);
+void ft_job_mark_dirty (FtJob *job, guint index);
+guint ft_job_chunks (const FtJob *job);
+char *ft_job_chunk_bits (const FtJob *job, guint chunk);
+
+/* machine.c */
+FtMachine *ft_machine_new (FtScheduler *s, const char *name, const char *addr, const char *type, const char *zone,
+                           gboolean spot);
+void ft_machine_free (FtMachine *machine);
+gboolean ft_machine_set_state (FtMachine *machine, FtMachineState to);
+const char *ft_machine_state_name (FtMachineState state);
+gboolean ft_machine_usable (const FtScheduler *s, const FtMachine *machine);
+guint ft_machine_room (const FtMachine *machine, const FtJobSpec *spec);
+gboolean ft_machine_idle (const FtMachine *machine);
+gboolean ft_machine_allowed (const FtMachine *machine, const FtJobSpec *spec);
+FtAttempt *ft_attempt_new (FtMachine *machine, FtJob *job, const char *ref, guint index, guint64 id);
+void ft_attempt_hold (FtAttempt *attempt);
+void ft_attempt_release (FtAttempt *attempt);
+void ft_attempt_bind (FtAttempt *attempt, FtTaskState state);
+void ft_attempt_want_stop (FtAttempt *attempt, double grace_s);
+/* The attempt is known to be over, without a result; frees it unless its exit is still listed. */
+void ft_attempt_over (FtScheduler *s, FtAttempt *attempt);
+void ft_machine_end_session (FtScheduler *s, FtMachine *machine);
+void ft_machine_gone (FtScheduler *s, FtMachine *machine, const char *why);
+
+/* quota.c */
+FtTeam *ft_quota_team (FtScheduler *s, const char *name);
+gboolean ft_quota_allows (const FtScheduler *s, const FtTeam *team, const FtJobSpec *spec);
+guint ft_quota_count (const FtScheduler *s, const FtTeam *team, const FtJobSpec *spec);
+void ft_quota_mark_guaranteed (FtScheduler *s);
+
+/* placement.c */
+void ft_placement_pass (FtScheduler *s);
+
+/* preempt.c */
+gboolean ft_preempt_for (FtScheduler *s, FtJob *job);
+
+/* recovery.c */
+void ft_recovery_tick (FtScheduler *s);
+void ft_recovery_unaccounted (const FtScheduler *s, double *cpus, double *gpus);
+
--- /dev/null
+++ b/src/core/scheduler.c
@@ -0,0 +1,1094 @@
+#include "core/scheduler.h"
+
+#include "core/fleet.h"
+#include "core/model.h"
+
+/* ---- life ---- */
+
+FtScheduler *
+ft_scheduler_new (const FtSettings *settings, FtCatalog *catalog, guint64 token, gint64 hold_us, gint64 now,
+                  guint32 seed)
+{
+  FtScheduler *s = g_new0 (FtScheduler, 1);
+  s->settings = settings;
+  s->catalog = ft_catalog_ref (catalog);
+  s->token = token;
+  s->hold_us = hold_us;
+  s->now = s->took_over_at = now;
+  s->random = g_rand_new_with_seed (seed);
+  s->next_attempt = s->next_booking = 1;
+  s->sample_size = FT_SAMPLE_SIZE;
+  s->teams = g_new0 (FtTeam, settings->n_teams);
+  for (guint i = 0; i < settings->n_teams; i++)
+    s->teams[i].limit = &settings->teams[i];
+  s->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) ft_job_free);
+  s->machines = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) ft_machine_free);
+  s->gone = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  s->pools = ft_fleet_pools_new ();
+  s->order = g_ptr_array_new ();
+  g_queue_init (&s->roster_drop);
+  g_queue_init (&s->closing);
+  return s;
+}
+
+void
+ft_scheduler_free (FtScheduler *s)
+{
+  if (s == NULL)
+    return;
+  g_hash_table_unref (s->jobs);
+  g_hash_table_unref (s->machines);
+  g_hash_table_unref (s->gone);
+  g_hash_table_unref (s->pools);
+  g_ptr_array_unref (s->order);
+  g_queue_clear_full (&s->roster_drop, g_free);
+  g_queue_clear_full (&s->closing, (GDestroyNotify) ft_write_free);
+  g_rand_free (s->random);
+  ft_catalog_unref (s->catalog);
+  g_free (s->teams);
+  g_free (s);
+}
+
+void
+ft_scheduler_set_catalog (FtScheduler *s, FtCatalog *catalog)
+{
+  ft_catalog_ref (catalog);
+  ft_catalog_unref (s->catalog);
+  s->catalog = catalog;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    FtMachine *m = value;
+    m->type = ft_catalog_find (catalog, m->type_name);
+  }
+}
+
+/* ---- jobs ---- */
+
+static FtJob *
+add_job (FtScheduler *s, FtJobSpec *spec, guint64 stamp, FtTaskState initial, gint64 wall_ms)
+{
+  if (g_hash_table_contains (s->jobs, spec->ref)) {
+    ft_job_spec_free (spec);
+    return NULL;
+  }
+  FtJob *job = ft_job_new (spec, ft_quota_team (s, spec->team), stamp, initial);
+  gint64 age_us = MAX (0, wall_ms - spec->submitted_wall_ms) * 1000;
+  job->accepted_at = s->now - age_us;
+  job->deadline_at = spec->deadline_s > 0 ? job->accepted_at + (gint64) (spec->deadline_s * FT_SECOND) : 0;
+  s->open_tasks += spec->tasks;
+  s->dirty = TRUE;
+  g_hash_table_insert (s->jobs, spec->ref, job);
+  return job;
+}
+
+void
+ft_scheduler_load_job (FtScheduler *s, FtJobSpec *spec, guint64 stamp, gint64 now, gint64 wall_ms)
+{
+  s->now = now;
+  add_job (s, spec, stamp, FT_TASK_UNKNOWN, wall_ms);
+}
+
+void
+ft_scheduler_load_done (FtScheduler *s, const char *ref, guint chunk, const char *bits)
+{
+  FtJob *job = g_hash_table_lookup (s->jobs, ref);
+  if (job == NULL) {
+    /* Left over from a job that was finished in two transactions. */
+    FtWrite *drop = g_new0 (FtWrite, 1);
+    drop->kind = FT_WRITE_CHUNK_DROP;
+    drop->name = g_strdup (ref);
+    drop->chunk = chunk;
+    g_queue_push_tail (&s->closing, drop);
+    return;
+  }
+  gsize size = 0;
+  g_autofree guchar *data = g_base64_decode (bits, &size);
+  guint first = chunk * FT_DONE_CHUNK;
+  for (guint i = 0; i < FT_DONE_CHUNK && i / 8 < size && first + i < job->spec->tasks; i++)
+    if (data[i / 8] & (1u << (i % 8)))
+      ft_task_set_state (job, first + i, FT_TASK_DONE);
+  g_hash_table_add (job->written, GUINT_TO_POINTER (chunk));
+}
+
+void
+ft_scheduler_job_added (FtScheduler *s, FtJobSpec *spec, guint64 stamp, gint64 now, gint64 wall_ms)
+{
+  s->now = now;
+  add_job (s, spec, stamp, FT_TASK_QUEUED, wall_ms);
+}
+
+/* Nothing of a withdrawn job starts any more; what runs is stopped. */
+static void
+withdraw (FtScheduler *s, FtJob *job)
+{
+  if (job->state != FT_JOB_OPEN)
+    return;
+  ft_job_set_state (job, FT_JOB_WITHDRAWN);
+  for (guint i = 0; i < job->spec->tasks; i++) {
+    FtAttempt *a = job->tasks[i].attempt;
+    if (job->tasks[i].state == FT_TASK_QUEUED)
+      ft_task_set_state (job, i, FT_TASK_DROPPED);
+    if (a == NULL || a->exited)
+      continue;
+    ft_attempt_want_stop (a, 0);
+    /* A start that never left this process needs no stop. */
+    if (!a->shown && a->sent_sequence == 0 && !a->direct_in_flight && !a->direct_unanswered)
+      ft_attempt_over (s, a);
+  }
+  s->dirty = TRUE;
+}
+
+void
+ft_scheduler_job_withdrawn (FtScheduler *s, const char *ref, gint64 now)
+{
+  s->now = now;
+  FtJob *job = g_hash_table_lookup (s->jobs, ref);
+  if (job != NULL)
+    withdraw (s, job);
+}
+
+static void
+close_job (FtScheduler *s, FtJob *job)
+{
+  GHashTableIter machines, attempts;
+  gpointer m, a;
+  ft_job_set_state (job, FT_JOB_CLOSED);
+  g_hash_table_iter_init (&machines, s->machines);
+  while (g_hash_table_iter_next (&machines, NULL, &m)) {
+    FtMachine *machine = m;
+    if (machine->last_failed == job)
+      machine->last_failed = NULL;
+    g_hash_table_iter_init (&attempts, machine->attempts);
+    while (g_hash_table_iter_next (&attempts, NULL, &a)) {
+      FtAttempt *attempt = a;
+      if (attempt->job != job)
+        continue;
+      attempt->job = NULL;
+      attempt->bound = FALSE;
+      attempt->forget_ok = attempt->exited;
+      if (!attempt->exited)
+        ft_attempt_want_stop (attempt, 0);
+    }
+  }
+  for (guint i = 0; i < job->spec->tasks && job->counts[FT_TASK_UNKNOWN] > 0; i++)
+    if (job->tasks[i].state == FT_TASK_UNKNOWN)
+      ft_task_set_state (job, i, FT_TASK_DROPPED);
+  s->open_tasks -= job->spec->tasks;
+  s->dirty = TRUE;
+  g_hash_table_remove (s->jobs, job->spec->ref);
+}
+
+FtJobView
+ft_scheduler_view (const FtScheduler *s, const char *ref)
+{
+  FtJobView view = { 0 };
+  const FtJob *job = g_hash_table_lookup (s->jobs, ref);
+  if (job == NULL)
+    return view;
+  view.known = TRUE;
+  view.withdrawn = job->state == FT_JOB_WITHDRAWN;
+  view.done = ft_job_finished (job);
+  view.running = ft_job_live (job) - job->counts[FT_TASK_STARTING];
+  return view;
+}
+
+guint
+ft_scheduler_open_tasks (const FtScheduler *s)
+{
+  return s->open_tasks;
+}
+
+guint
+ft_scheduler_up (const FtScheduler *s)
+{
+  guint n = 0;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    FtMachineState state = ((FtMachine *) value)->state;
+    n += state == FT_MACHINE_UP || state == FT_MACHINE_SILENT;
+  }
+  return n;
+}
+
+/* ---- workers ---- */
+
+static void
+task_failed (FtScheduler *s, FtAttempt *a, FtWhy why)
+{
+  FtJob *job = a->job;
+  FtMachine *machine = a->machine;
+  FtTask *task = &job->tasks[a->index];
+  task->fails = MIN (task->fails + 1, 20);
+  task->avoid = machine;
+  double pause = MIN (FT_RETRY_FIRST_S * (1u << MIN (task->fails - 1, 10)), FT_RETRY_LONGEST_S);
+  task->not_before = s->now + (gint64) (pause * FT_SECOND);
+  if (why != FT_WHY_ERROR)
+    return;
+  /* One job that fails everywhere is its owner's mistake; different jobs that
+   * fail on one machine are the machine's. */
+  if (machine->last_failed != job)
+    machine->failing_jobs++;
+  machine->last_failed = job;
+  if (machine->failing_jobs >= FT_FAULTY_JOBS && !machine->faulty) {
+    machine->faulty = TRUE;
+    g_warning ("machine %s: faulty, %u jobs failed on it", machine->name, machine->failing_jobs);
+  }
+}
+
+static void
+attempt_exited (FtScheduler *s, FtAttempt *a, FtWhy why)
+{
+  FtMachine *machine = a->machine;
+  a->exited = TRUE;
+  a->listed = TRUE;
+  ft_attempt_release (a);
+  s->dirty = TRUE;
+  if (a->bound && why == FT_WHY_DONE) {
+    machine->failing_jobs = 0;
+    machine->last_failed = NULL;
+    ft_task_set_state (a->job, a->index, FT_TASK_FINISHED);
+    if (a->job->state == FT_JOB_WITHDRAWN)
+      ft_task_set_state (a->job, a->index, FT_TASK_DROPPED);
+    if (a->job->state != FT_JOB_OPEN) {
+      a->forget_ok = TRUE;
+      ft_attempt_over (s, a);
+    }
+    return;
+  }
+  if (a->bound) {
+    if (why != FT_WHY_STOPPED && a->job->state == FT_JOB_OPEN)
+      task_failed (s, a, why);
+    g_message ("task %s/%u: attempt ended on %s (why %d)", a->job_ref, a->index, machine->name, why);
+  }
+  a->forget_ok = TRUE;
+  ft_attempt_over (s, a);
+}
+
+static void
+attempt_progress (FtScheduler *s, FtAttempt *a, FtReportedState state)
+{
+  static const FtTaskState states[] = { FT_TASK_FETCHING, FT_TASK_RUNNING, FT_TASK_SAVING };
+  a->shown = TRUE;
+  if (state != FT_REPORTED_FETCHING && !a->running) {
+    a->running = TRUE;
+    a->running_at = s->now;
+    if (a->job != NULL)
+      g_hash_table_add (a->machine->images, g_strdup (a->job->spec->image));
+  }
+  if (a->bound)
+    ft_task_set_state (a->job, a->index, states[state]);
+}
+
+/* An attempt in a report that this leadership did not start. */
+static void
+adopt (FtScheduler *s, FtMachine *machine, const FtReportedTask *t)
+{
+  FtJob *job = g_hash_table_lookup (s->jobs, t->job);
+  if (job != NULL && t->index >= job->spec->tasks)
+    job = NULL;
+  FtTask *task = job != NULL ? &job->tasks[t->index] : NULL;
+  FtAttempt *a = ft_attempt_new (machine, job, t->job, t->index, t->attempt);
+  a->shown = a->listed = TRUE;
+  a->placed_at = s->now;
+  gboolean open = job != NULL && job->state == FT_JOB_OPEN;
+  gboolean free_task = open && task->attempt == NULL
+                       && (task->state == FT_TASK_UNKNOWN || task->state == FT_TASK_QUEUED);
+  if (t->state == FT_REPORTED_EXITED) {
+    a->exited = TRUE;
+    a->forget_ok = !(free_task && t->why == FT_WHY_DONE);
+    if (free_task && t->why == FT_WHY_DONE)
+      ft_attempt_bind (a, FT_TASK_FINISHED);
+    s->dirty = TRUE;
+    return;
+  }
+  ft_attempt_hold (a);
+  if (free_task) {
+    ft_attempt_bind (a, FT_TASK_FETCHING);
+  } else if (job != NULL && job->state == FT_JOB_WITHDRAWN && task->attempt == NULL
+             && task->state == FT_TASK_UNKNOWN) {
+    ft_attempt_bind (a, FT_TASK_FETCHING);
+    ft_attempt_want_stop (a, 0);
+  } else {
+    g_warning ("task %s/%u: attempt %" G_GUINT64_FORMAT " on %s is not wanted", t->job, t->index, t->attempt,
+               machine->name);
+    ft_attempt_want_stop (a, 0);
+  }
+  attempt_progress (s, a, t->state);
+}
+
+static void
+apply_task (FtScheduler *s, FtMachine *machine, const FtReportedTask *t)
+{
+  FtAttempt *a = g_hash_table_lookup (machine->attempts, &t->attempt);
+  if (a == NULL) {
+    adopt (s, machine, t);
+    return;
+  }
+  a->listed = TRUE;
+  if (a->exited)
+    return;
+  if (t->state != FT_REPORTED_EXITED) {
+    attempt_progress (s, a, t->state);
+    return;
+  }
+  a->shown = TRUE;
+  attempt_exited (s, a, t->why);
+}
+
+/* An attempt that a newer report of its session does not show. */
+static void
+apply_absence (FtScheduler *s, FtAttempt *a, const FtReport *report, gboolean is_report)
+{
+  if (a->exited) {
+    if (a->bound)
+      return; /* its result is not committed yet */
+    g_hash_table_remove (a->machine->attempts, &a->id);
+    return;
+  }
+  if (a->shown) {
+    /* The protocol has no way to this; the start is repeated, on this machine. */
+    g_warning ("task %s/%u: vanished from %s", a->job_ref, a->index, a->machine->name);
+    if (a->stop_wanted)
+      ft_attempt_over (s, a);
+    else
+      a->shown = FALSE;
+    return;
+  }
+  /* Commands in the answer to a report are executed before the next report or
+   * never, but a direct start may still be on its way: then only the end of
+   * the session proves that it did not happen. */
+  gboolean certain = is_report && a->sent_sequence < report->sequence;
+  if (a->stop_wanted && certain && !a->direct_in_flight && !a->direct_unanswered)
+    ft_attempt_over (s, a);
+}
+
+static void
+apply_tasks (FtScheduler *s, FtMachine *machine, const FtReport *report, gboolean is_report)
+{
+  g_autoptr (GList) before = g_hash_table_get_values (machine->attempts);
+  for (GList *l = before; l != NULL; l = l->next)
+    ((FtAttempt *) l->data)->listed = FALSE;
+  for (guint i = 0; i < report->tasks->len; i++)
+    apply_task (s, machine, &g_array_index (report->tasks, FtReportedTask, i));
+  g_autoptr (GList) after = g_hash_table_get_values (machine->attempts);
+  for (GList *l = after; l != NULL; l = l->next)
+    if (!((FtAttempt *) l->data)->listed)
+      apply_absence (s, l->data, report, is_report);
+}
+
+/* A spot notice: no more starts; what saves is stopped in time, what is sure
+ * to be lost anyway goes elsewhere at once. */
+static void
+apply_notice (FtScheduler *s, FtMachine *machine, double notice_s)
+{
+  if (notice_s < 0 || machine->state == FT_MACHINE_RETURNING)
+    return;
+  if (machine->notice_until == 0)
+    g_message ("machine %s: notice, taken in %.1f s", machine->name, notice_s);
+  gboolean first = machine->notice_until == 0;
+  machine->notice_until = s->now + (gint64) (notice_s * FT_SECOND);
+  if (!first)
+    return;
+  g_autoptr (GList) all = g_hash_table_get_values (machine->attempts);
+  for (GList *l = all; l != NULL; l = l->next) {
+    FtAttempt *a = l->data;
+    if (!a->bound || a->exited)
+      continue;
+    const FtJobSpec *spec = a->job->spec;
+    double ran = a->running ? (double) (s->now - a->running_at) / FT_SECOND : 0;
+    if (spec->checkpoint_s > 0 && a->running)
+      ft_attempt_want_stop (a, spec->save_s);
+    else if (ran + notice_s < 0.6 * spec->estimate_s)
+      ft_attempt_want_stop (a, 0);
+  }
+}
+
+static FtMachine *
+machine_of_report (FtScheduler *s, const FtReport *report)
+{
+  FtMachine *machine = g_hash_table_lookup (s->machines, report->machine);
+  if (machine == NULL) {
+    /* Rented by a former leader, or by a request executed late. It is in no
+     * roster, so it has never been sent a command: it holds no task. */
+    machine = ft_machine_new (s, report->machine, report->addr, report->type, report->zone, report->spot);
+    machine->accounted = TRUE;
+    machine->last_answer = s->now;
+    g_hash_table_insert (s->machines, machine->name, machine);
+    g_message ("machine %s: first heard of by its report", machine->name);
+  }
+  if (g_strcmp0 (machine->addr, report->addr) != 0) {
+    g_free (machine->addr);
+    machine->addr = g_strdup (report->addr);
+  }
+  return machine;
+}
+
+/* Takes in a report's content if it is the newest of its machine. */
+static void
+apply_report (FtScheduler *s, FtMachine *machine, const FtReport *report, gboolean is_report)
+{
+  if (report->session <= machine->lapsed_session || report->session < machine->session
+      || (report->session == machine->session && report->sequence <= machine->sequence))
+    return;
+  if (report->session > machine->session) {
+    if (machine->session != 0) {
+      g_message ("machine %s: session %" G_GUINT64_FORMAT, machine->name, report->session);
+      ft_machine_end_session (s, machine);
+    }
+    machine->session = report->session;
+  }
+  machine->sequence = report->sequence;
+  machine->last_report = s->now;
+  machine->replied = TRUE;
+  if (machine->state == FT_MACHINE_BOOTING || machine->state == FT_MACHINE_SILENT) {
+    if (machine->state == FT_MACHINE_BOOTING)
+      machine->up_at = machine->idle_since = s->now;
+    ft_machine_set_state (machine, FT_MACHINE_UP);
+    s->dirty = TRUE;
+  }
+  if (!machine->in_roster)
+    machine->roster_wanted = TRUE;
+  /* Only a report sent after the worker saw our token counts: before that a
+   * command of the former leader may still have been executed. */
+  if (report->token >= s->token && !machine->accounted) {
+    machine->accounted = TRUE;
+    s->dirty = TRUE;
+    g_message ("machine %s: accounted for", machine->name);
+  }
+  if (report->token >= s->token)
+    apply_tasks (s, machine, report, is_report);
+  if (is_report)
+    apply_notice (s, machine, report->notice_s);
+}
+
+gboolean
+ft_scheduler_report (FtScheduler *s, const FtReport *report, gint64 now)
+{
+  s->now = now;
+  if (report->token > s->token)
+    return FALSE;
+  /* Before the roster is read, nobody knows what a machine may hold. */
+  if (s->loaded && !g_hash_table_contains (s->gone, report->machine))
+    apply_report (s, machine_of_report (s, report), report, TRUE);
+  ft_recovery_tick (s);
+  return TRUE;
+}
+
+static void
+add_command (GArray *commands, FtCommandOp op, const FtAttempt *a)
+{
+  FtCommand c = { .op = op, .job = g_strdup (a->job_ref), .index = a->index, .attempt = a->id, .grace_s = a->grace_s };
+  g_array_append_val (commands, c);
+}
+
+static gboolean
+wants_start (const FtScheduler *s, const FtMachine *machine, const FtAttempt *a)
+{
+  return s->may_start && machine->in_roster && a->bound && !a->shown && !a->exited && !a->stop_wanted
+         && machine->state != FT_MACHINE_RETURNING && a->job->state == FT_JOB_OPEN;
+}
+
+GArray *
+ft_scheduler_answer (FtScheduler *s, const FtReport *report, gint64 now)
+{
+  GArray *commands = ft_commands_new ();
+  FtMachine *machine = g_hash_table_lookup (s->machines, report->machine);
+  s->now = now;
+  if (machine == NULL)
+    return commands;
+  machine->last_answer = now;
+  if (report->session != machine->session || report->sequence != machine->sequence || report->token < s->token
+      || machine->session <= machine->lapsed_session)
+    return commands;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, machine->attempts);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    FtAttempt *a = value;
+    if (a->stop_wanted && a->shown && !a->exited)
+      add_command (commands, FT_COMMAND_STOP, a);
+    else if (a->exited && a->forget_ok && !a->direct_unanswered && !a->direct_in_flight && s->may_start)
+      add_command (commands, FT_COMMAND_FORGET, a);
+  }
+  g_hash_table_iter_init (&it, machine->attempts);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    FtAttempt *a = value;
+    if (!wants_start (s, machine, a))
+      continue;
+    a->sent_sequence = report->sequence;
+    add_command (commands, FT_COMMAND_START, a);
+  }
+  return commands;
+}
+
+/* ---- direct commands ---- */
+
+void
+ft_direct_free (FtDirect *direct)
+{
+  if (direct == NULL)
+    return;
+  g_free (direct->machine);
+  g_free (direct->addr);
+  if (direct->commands != NULL)
+    g_array_unref (direct->commands);
+  g_free (direct);
+}
+
+static FtDirect *
+direct_new (FtMachine *machine, GArray *commands)
+{
+  FtDirect *direct = g_new0 (FtDirect, 1);
+  direct->machine = g_strdup (machine->name);
+  direct->addr = g_strdup (machine->addr);
+  direct->session = machine->session;
+  direct->commands = commands;
+  machine->command_in_flight = TRUE;
+  return direct;
+}
+
+static FtDirect *
+direct_to (FtScheduler *s, FtMachine *machine)
+{
+  if (machine->command_in_flight || machine->addr == NULL)
+    return NULL;
+  if (!machine->accounted && s->now >= machine->probe_at && machine->state != FT_MACHINE_GONE) {
+    machine->probe_at = s->now + (gint64) (FT_PROBE_EVERY_S * FT_SECOND);
+    return direct_new (machine, ft_commands_new ());
+  }
+  if (machine->state != FT_MACHINE_UP || !machine->accounted || machine->session <= machine->lapsed_session)
+    return NULL;
+  GArray *commands = ft_commands_new ();
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, machine->attempts);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    FtAttempt *a = value;
+    if (a->stop_wanted && a->shown && !a->exited && !a->stop_sent) {
+      a->stop_sent = TRUE;
+      add_command (commands, FT_COMMAND_STOP, a);
+    } else if (ft_machine_usable (s, machine) && wants_start (s, machine, a) && a->sent_sequence == 0
+               && !a->direct_unanswered) {
+      a->direct_in_flight = TRUE;
+      add_command (commands, FT_COMMAND_START, a);
+    }
+  }
+  if (commands->len > 0)
+    return direct_new (machine, commands);
+  g_array_unref (commands);
+  return NULL;
+}
+
+FtDirect *
+ft_scheduler_next_direct (FtScheduler *s, gint64 now)
+{
+  s->now = now;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    FtDirect *direct = direct_to (s, value);
+    if (direct != NULL)
+      return direct;
+  }
+  return NULL;
+}
+
+static void
+settle_direct (FtScheduler *s, FtMachine *machine, const FtDirect *direct, FtDirectResult result)
+{
+  for (guint i = 0; i < direct->commands->len; i++) {
+    const FtCommand *c = &g_array_index (direct->commands, FtCommand, i);
+    FtAttempt *a = g_hash_table_lookup (machine->attempts, &c->attempt);
+    if (a == NULL || c->op != FT_COMMAND_START)
+      continue;
+    a->direct_in_flight = FALSE;
+    if (result == FT_DIRECT_UNANSWERED && a->session == direct->session)
+      a->direct_unanswered = TRUE;
+    /* Refused as a whole: this copy was not executed and never will be. */
+    if (result == FT_DIRECT_CONFLICT && a->stop_wanted && !a->shown && a->sent_sequence == 0 && !a->exited)
+      ft_attempt_over (s, a);
+  }
+}
+
+gboolean
+ft_scheduler_direct_done (FtScheduler *s, const FtDirect *direct, FtDirectResult result, const FtReport *report,
+                          gint64 now)
+{
+  s->now = now;
+  FtMachine *machine = g_hash_table_lookup (s->machines, direct->machine);
+  if (report != NULL && report->token > s->token)
+    return FALSE;
+  if (machine == NULL)
+    return TRUE;
+  machine->command_in_flight = FALSE;
+  settle_direct (s, machine, direct, result);
+  if (report == NULL || g_strcmp0 (report->machine, machine->name) != 0)
+    return TRUE;
+  if (machine->state != FT_MACHINE_RETURNING || !machine->accounted)
+    apply_report (s, machine, report, FALSE);
+  /* Refused for its session: ask again at once with the right one. */
+  if (result == FT_DIRECT_CONFLICT && !machine->accounted)
+    machine->probe_at = now;
+  ft_recovery_tick (s);
+  return TRUE;
+}
+
+/* ---- recovery ---- */
+
+void
+ft_scheduler_load_machine (FtScheduler *s, const char *name, const char *addr, const char *type, const char *zone,
+                           gboolean spot)
+{
+  if (g_hash_table_contains (s->machines, name) || g_hash_table_contains (s->gone, name))
+    return;
+  FtMachine *machine = ft_machine_new (s, name, addr, type, zone, spot);
+  machine->in_roster = TRUE;
+  /* A former leader that lost the store may have answered it until then. */
+  machine->last_answer = s->took_over_at + s->hold_us;
+  machine->last_report = s->now;
+  g_hash_table_insert (s->machines, machine->name, machine);
+}
+
+void
+ft_scheduler_loaded (FtScheduler *s, gint64 now)
+{
+  GHashTableIter it;
+  gpointer value;
+  s->now = now;
+  s->loaded = s->dirty = TRUE;
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    FtMachine *machine = value;
+    machine->last_report = now; /* silence counts from here */
+    machine->last_answer = MAX (machine->last_answer, now); /* it may have been answered while we read */
+    if (machine->state == FT_MACHINE_BOOTING && machine->in_roster)
+      ft_machine_set_state (machine, FT_MACHINE_UP);
+  }
+  ft_recovery_tick (s);
+}
+
+gboolean
+ft_scheduler_is_loaded (const FtScheduler *s)
+{
+  return s->loaded;
+}
+
+/* ---- time ---- */
+
+static gint64
+seconds (double s)
+{
+  return (gint64) (s * FT_SECOND);
+}
+
+static void
+check_machine (FtScheduler *s, FtMachine *machine)
+{
+  double worker_lease = s->settings->lease_s * (1 + FT_CLOCK_DRIFT) + FT_WORKER_LEASE_MARGIN_S;
+  if (machine->state == FT_MACHINE_GONE)
+    return;
+  if ((machine->session > machine->lapsed_session || !machine->accounted)
+      && machine->last_answer > 0 && s->now > machine->last_answer + seconds (worker_lease)) {
+    g_message ("machine %s: worker lease over, session %" G_GUINT64_FORMAT, machine->name, machine->session);
+    ft_machine_end_session (s, machine);
+    machine->accounted = TRUE;
+  }
+  double silence = s->settings->report_s * 1.25 + FT_WORKER_TIMEOUT_S + FT_SILENCE_MARGIN_S;
+  if (machine->state == FT_MACHINE_UP && s->now - machine->last_report > seconds (silence))
+    ft_machine_set_state (machine, FT_MACHINE_SILENT);
+}
+
+void
+ft_scheduler_tick (FtScheduler *s, gint64 now, gboolean may_start)
+{
+  GHashTableIter it;
+  gpointer value;
+  s->now = now;
+  s->may_start = may_start;
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    FtMachine *machine = value;
+    check_machine (s, machine);
+    if (machine->state == FT_MACHINE_GONE && !machine->command_in_flight && !machine->return_in_flight
+        && !machine->roster_in_flight)
+      g_hash_table_iter_remove (&it);
+  }
+  ft_recovery_tick (s);
+  ft_placement_pass (s); /* pauses end with time alone */
+  if (s->loaded)
+    ft_fleet_tick (s);
+}
+
+void
+ft_scheduler_place (FtScheduler *s, gint64 now, gboolean may_start)
+{
+  s->now = now;
+  s->may_start = may_start;
+  if (s->dirty)
+    ft_placement_pass (s);
+}
+
+/* ---- store ---- */
+
+void
+ft_write_free (FtWrite *write)
+{
+  g_free (write->name);
+  g_free (write->addr);
+  g_free (write->type);
+  g_free (write->zone);
+  g_free (write->bits);
+  g_free (write);
+}
+
+/* Changes that a write makes in its transaction. */
+guint
+ft_write_ops (const FtWrite *write)
+{
+  switch (write->kind) {
+  case FT_WRITE_JOB_DONE:
+    return 2 + (write->chunk > 0); /* the row, the index, the first chunk */
+  case FT_WRITE_JOB_GONE:
+    return 3;
+  default:
+    return 1;
+  }
+}
+
+static FtWrite *
+write_new (FtWriteKind kind, const char *name)
+{
+  FtWrite *write = g_new0 (FtWrite, 1);
+  write->kind = kind;
+  write->name = g_strdup (name);
+  return write;
+}
+
+typedef struct {
+  GPtrArray *writes;
+  guint left;
+} Batch;
+
+static gboolean
+batch_add (Batch *batch, FtWrite *write)
+{
+  guint ops = ft_write_ops (write);
+  if (ops > batch->left) {
+    ft_write_free (write);
+    return FALSE;
+  }
+  batch->left -= ops;
+  g_ptr_array_add (batch->writes, write);
+  return TRUE;
+}
+
+static void
+add_roster (FtScheduler *s, Batch *batch)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value) && batch->left > 0) {
+    FtMachine *m = value;
+    if (!m->roster_wanted || m->in_roster || m->roster_in_flight || m->state == FT_MACHINE_GONE)
+      continue;
+    FtWrite *write = write_new (FT_WRITE_ROSTER_ADD, m->name);
+    write->addr = g_strdup (m->addr);
+    write->type = g_strdup (m->type_name);
+    write->zone = g_strdup (m->zone);
+    write->spot = m->spot;
+    m->roster_in_flight = batch_add (batch, write);
+  }
+  while (batch->left > 0 && !g_queue_is_empty (&s->roster_drop)) {
+    g_autofree char *name = g_queue_pop_head (&s->roster_drop);
+    batch_add (batch, write_new (FT_WRITE_ROSTER_DROP, name));
+  }
+}
+
+static gboolean
+job_complete (const FtJob *job)
+{
+  return job->state == FT_JOB_OPEN && ft_job_finished (job) == job->spec->tasks;
+}
+
+static gboolean
+job_all_gone (const FtJob *job)
+{
+  if (job->state != FT_JOB_WITHDRAWN)
+    return FALSE;
+  return ft_job_live (job) == 0 && job->counts[FT_TASK_UNKNOWN] == 0 && job->counts[FT_TASK_QUEUED] == 0;
+}
+
+static void
+add_job_writes (FtJob *job, Batch *batch)
+{
+  if (job->final_in_flight || job->conflicted)
+    return;
+  if (job_complete (job) || job_all_gone (job)) {
+    FtWrite *write = write_new (job_complete (job) ? FT_WRITE_JOB_DONE : FT_WRITE_JOB_GONE, job->spec->ref);
+    write->stamp = job->stamp;
+    write->tasks = job->spec->tasks;
+    write->chunk = g_hash_table_size (job->written);
+    job->final_in_flight = batch_add (batch, write);
+    return;
+  }
+  if (job->state != FT_JOB_OPEN)
+    return;
+  GHashTableIter it;
+  gpointer key;
+  g_hash_table_iter_init (&it, job->dirty);
+  while (batch->left > 0 && g_hash_table_iter_next (&it, &key, NULL)) {
+    FtWrite *write = write_new (FT_WRITE_CHUNK, job->spec->ref);
+    write->chunk = GPOINTER_TO_UINT (key);
+    write->bits = ft_job_chunk_bits (job, write->chunk);
+    write->stamp = job->stamp;
+    if (batch_add (batch, write))
+      g_hash_table_iter_remove (&it);
+  }
+}
+
+GPtrArray *
+ft_scheduler_next_writes (FtScheduler *s, guint ops, gint64 now)
+{
+  s->now = now;
+  Batch batch = { g_ptr_array_new_with_free_func ((GDestroyNotify) ft_write_free), ops };
+  if (!s->loaded)
+    return batch.writes;
+  add_roster (s, &batch);
+  GHashTableIter it;
+  gpointer value;
+  /* Ends of jobs first: somebody waits for them. */
+  for (int round = 0; round < 2; round++) {
+    g_hash_table_iter_init (&it, s->jobs);
+    while (batch.left > 0 && g_hash_table_iter_next (&it, NULL, &value)) {
+      gboolean end = job_complete (value) || job_all_gone (value);
+      if (end == (round == 0))
+        add_job_writes (value, &batch);
+    }
+  }
+  while (batch.left > 0 && !g_queue_is_empty (&s->closing))
+    batch_add (&batch, g_queue_pop_head (&s->closing));
+  return batch.writes;
+}
+
+static void
+chunk_written (FtScheduler *s, const FtWrite *write)
+{
+  FtJob *job = g_hash_table_lookup (s->jobs, write->name);
+  if (job == NULL)
+    return;
+  g_hash_table_add (job->written, GUINT_TO_POINTER (write->chunk));
+  gsize size = 0;
+  g_autofree guchar *bits = g_base64_decode (write->bits, &size);
+  guint first = write->chunk * FT_DONE_CHUNK;
+  for (guint i = 0; i / 8 < size && first + i < job->spec->tasks; i++) {
+    FtTask *task = &job->tasks[first + i];
+    if (!(bits[i / 8] & (1u << (i % 8))) || task->state != FT_TASK_FINISHED)
+      continue;
+    ft_task_set_state (job, first + i, FT_TASK_DONE);
+    FtAttempt *a = task->attempt;
+    if (a != NULL) {
+      a->forget_ok = TRUE;
+      ft_attempt_over (s, a);
+    }
+  }
+}
+
+static void
+leave_chunks (FtScheduler *s, const FtJob *job, gboolean first_deleted)
+{
+  GHashTableIter it;
+  gpointer key;
+  g_hash_table_iter_init (&it, job->written);
+  while (g_hash_table_iter_next (&it, &key, NULL)) {
+    if (first_deleted && GPOINTER_TO_UINT (key) == 0)
+      continue;
+    FtWrite *drop = write_new (FT_WRITE_CHUNK_DROP, job->spec->ref);
+    drop->chunk = GPOINTER_TO_UINT (key);
+    g_queue_push_tail (&s->closing, drop);
+  }
+}
+
+static void
+roster_written (FtScheduler *s, const char *name)
+{
+  FtMachine *machine = g_hash_table_lookup (s->machines, name);
+  if (machine == NULL)
+    return;
+  machine->roster_in_flight = FALSE;
+  machine->in_roster = TRUE;
+  s->dirty = TRUE;
+}
+
+static void
+write_done (FtScheduler *s, const FtWrite *write)
+{
+  FtJob *job = g_hash_table_lookup (s->jobs, write->name);
+  switch (write->kind) {
+  case FT_WRITE_ROSTER_ADD:
+    roster_written (s, write->name);
+    break;
+  case FT_WRITE_CHUNK:
+    chunk_written (s, write);
+    break;
+  case FT_WRITE_JOB_DONE:
+  case FT_WRITE_JOB_GONE:
+    if (job == NULL)
+      break;
+    g_message ("job %s: %s committed", write->name, write->kind == FT_WRITE_JOB_DONE ? "done" : "end of withdrawal");
+    leave_chunks (s, job, TRUE);
+    close_job (s, job);
+    break;
+  default:
+    break;
+  }
+}
+
+void
+ft_scheduler_written (FtScheduler *s, GPtrArray *writes, gint64 now)
+{
+  s->now = now;
+  for (guint i = 0; i < writes->len; i++)
+    write_done (s, g_ptr_array_index (writes, i));
+}
+
+static void
+write_undone (FtScheduler *s, FtWrite *write)
+{
+  FtJob *job = g_hash_table_lookup (s->jobs, write->name);
+  FtMachine *machine = g_hash_table_lookup (s->machines, write->name);
+  switch (write->kind) {
+  case FT_WRITE_ROSTER_ADD:
+    if (machine != NULL)
+      machine->roster_in_flight = FALSE;
+    break;
+  case FT_WRITE_ROSTER_DROP:
+    g_queue_push_tail (&s->roster_drop, g_strdup (write->name));
+    break;
+  case FT_WRITE_CHUNK:
+    if (job != NULL)
+      g_hash_table_add (job->dirty, GUINT_TO_POINTER (write->chunk));
+    break;
+  case FT_WRITE_CHUNK_DROP: {
+    FtWrite *again = write_new (FT_WRITE_CHUNK_DROP, write->name);
+    again->chunk = write->chunk;
+    g_queue_push_tail (&s->closing, again);
+    break;
+  }
+  case FT_WRITE_JOB_DONE:
+  case FT_WRITE_JOB_GONE:
+    if (job != NULL)
+      job->final_in_flight = FALSE;
+    break;
+  }
+}
+
+void
+ft_scheduler_unwritten (FtScheduler *s, GPtrArray *writes, const char *conflicted, gint64 now)
+{
+  s->now = now;
+  for (guint i = 0; i < writes->len; i++)
+    write_undone (s, g_ptr_array_index (writes, i));
+  FtJob *job = conflicted != NULL ? g_hash_table_lookup (s->jobs, conflicted) : NULL;
+  if (job != NULL)
+    job->conflicted = TRUE; /* until ft_scheduler_job_resolved() */
+}
+
+void
+ft_scheduler_job_resolved (FtScheduler *s, const char *ref, gboolean done, gint64 now)
+{
+  s->now = now;
+  FtJob *job = g_hash_table_lookup (s->jobs, ref);
+  if (job == NULL)
+    return;
+  job->conflicted = FALSE;
+  if (!done) {
+    withdraw (s, job);
+    return;
+  }
+  leave_chunks (s, job, FALSE);
+  close_job (s, job);
+}
+
+/* ---- for operators ---- */
+
+static const char *
+why_waiting (const FtScheduler *s, const FtJob *job)
+{
+  if (job->counts[FT_TASK_UNKNOWN] > 0)
+    return "machines are being accounted for after a takeover";
+  if (job->counts[FT_TASK_QUEUED] == 0)
+    return "";
+  if (job->team != NULL && !ft_quota_allows (s, job->team, job->spec))
+    return "the team's limit is reached";
+  if (job->pass_blocked == s->pass)
+    return "no allowed machine has room";
+  return "paused after failures, or waiting for the next pass";
+}
+
+void
+ft_scheduler_each_job (FtScheduler *s, FtJobVisitor visit, gpointer data)
+{
+  static const char *const states[] = { "open", "withdrawn", "closed" };
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, s->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    const FtJob *job = value;
+    visit (job->spec->ref, job->spec->job_class, states[job->state], job->spec->tasks, ft_job_finished (job),
+           ft_job_live (job) - job->counts[FT_TASK_STARTING], why_waiting (s, job), data);
+  }
+}
+
+static const char *
+why_unused (const FtScheduler *s, const FtMachine *m)
+{
+  if (m->drained)
+    return "drained by an operator";
+  if (m->faulty)
+    return "tasks of different jobs failed on it";
+  if (m->notice_until > 0)
+    return "the cloud takes it back";
+  if (!m->accounted)
+    return "not heard from since the takeover";
+  if (m->state == FT_MACHINE_UP && !m->in_roster)
+    return "not yet in the roster";
+  return ft_machine_usable (s, m) ? "" : "not up";
+}
+
+void
+ft_scheduler_each_machine (FtScheduler *s, FtMachineVisitor visit, gpointer data)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    const FtMachine *m = value;
+    visit (m->name, ft_machine_state_name (m->state), m->type_name, m->zone, m->spot, m->session,
+           g_hash_table_size (m->attempts), why_unused (s, m), data);
+  }
+}
+
+void
+ft_scheduler_each_team (FtScheduler *s, FtTeamVisitor visit, gpointer data)
+{
+  for (guint i = 0; i < s->settings->n_teams; i++)
+    visit (s->teams[i].limit, s->teams[i].cpus, s->teams[i].gpus, data);
+}
+
+gboolean
+ft_scheduler_drain (FtScheduler *s, const char *name, gboolean drain)
+{
+  FtMachine *machine = g_hash_table_lookup (s->machines, name);
+  if (machine == NULL)
+    return FALSE;
+  g_message ("machine %s: %s", name, drain ? "drained" : "undrained");
+  machine->drained = drain;
+  s->dirty = TRUE;
+  return TRUE;
+}
--- /dev/null
+++ b/src/core/scheduler.h
@@ -0,0 +1,125 @@
+/* The leader's scheduler: events with time in, actions out. No I/O.
+ *
+ * One scheduler lives as long as one leadership; it is dropped, with all that
+ * is unsaved, when the lease is refused or a higher token is seen. Times are
+ * microseconds of the steady clock; walls are milliseconds of the time of day.
+ * Strings and arrays passed in stay the caller's unless said otherwise. */
+#pragma once
+#include "core/types.h"
+
+typedef struct _FtScheduler FtScheduler;
+
+FtScheduler *ft_scheduler_new (const FtSettings *settings, FtCatalog *catalog, guint64 token, gint64 hold_us,
+                               gint64 now, guint32 seed);
+void ft_scheduler_free (FtScheduler *s);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (FtScheduler, ft_scheduler_free)
+
+/* ---- recovery: rows of the store, then loaded ---- */
+/* Takes the spec. */
+void ft_scheduler_load_job (FtScheduler *s, FtJobSpec *spec, guint64 stamp, gint64 now, gint64 wall_ms);
+void ft_scheduler_load_done (FtScheduler *s, const char *ref, guint chunk, const char *bits);
+void ft_scheduler_load_machine (FtScheduler *s, const char *name, const char *addr, const char *type,
+                                const char *zone, gboolean spot);
+void ft_scheduler_loaded (FtScheduler *s, gint64 now);
+gboolean ft_scheduler_is_loaded (const FtScheduler *s);
+
+/* ---- jobs ---- */
+/* A job accepted after the takeover: none of its tasks can be running. Takes the spec. */
+void ft_scheduler_job_added (FtScheduler *s, FtJobSpec *spec, guint64 stamp, gint64 now, gint64 wall_ms);
+void ft_scheduler_job_withdrawn (FtScheduler *s, const char *ref, gint64 now);
+void ft_scheduler_set_catalog (FtScheduler *s, FtCatalog *catalog);
+
+typedef struct {
+  gboolean known, withdrawn;
+  guint done, running;
+} FtJobView;
+FtJobView ft_scheduler_view (const FtScheduler *s, const char *ref);
+
+/* ---- workers ---- */
+/* A report to us. The answer carries ft_scheduler_answer()'s commands. Returns
+ * FALSE if the report shows a higher token: the caller must step down. */
+gboolean ft_scheduler_report (FtScheduler *s, const FtReport *report, gint64 now);
+/* The commands for the answer to this report. `starts`: the lease allows it. */
+GArray *ft_scheduler_answer (FtScheduler *s, const FtReport *report, gint64 now);
+
+/* A direct request to one machine. Probes have no commands. */
+typedef struct {
+  char *machine, *addr;
+  guint64 session;
+  GArray *commands; /* FtCommand */
+} FtDirect;
+void ft_direct_free (FtDirect *direct);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (FtDirect, ft_direct_free)
+/* The next request to send, or NULL. */
+FtDirect *ft_scheduler_next_direct (FtScheduler *s, gint64 now);
+typedef enum { FT_DIRECT_OK, FT_DIRECT_CONFLICT, FT_DIRECT_UNANSWERED } FtDirectResult;
+/* `report` may be NULL. Returns FALSE if a higher token was seen. */
+gboolean ft_scheduler_direct_done (FtScheduler *s, const FtDirect *direct, FtDirectResult result,
+                                   const FtReport *report, gint64 now);
+
+/* ---- cloud ---- */
+void ft_scheduler_listed (FtScheduler *s, GArray *list, gint64 now);
+typedef enum { FT_CLOUD_RENT, FT_CLOUD_RETURN } FtCloudOp;
+typedef struct {
+  FtCloudOp op;
+  char *booking, *type, *zone;
+  gboolean spot;
+  guint count;
+  GPtrArray *names; /* to return, or rented */
+} FtCloudCall;
+void ft_cloud_call_free (FtCloudCall *call);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (FtCloudCall, ft_cloud_call_free)
+FtCloudCall *ft_scheduler_next_cloud (FtScheduler *s, gint64 now);
+typedef enum { FT_CLOUD_OK, FT_CLOUD_REFUSED, FT_CLOUD_FAILED } FtCloudResult;
+/* For a rental that went through, `call->names` are the machines. A call that
+ * failed is to be repeated by the caller of ft_scheduler_next_cloud(). */
+void ft_scheduler_cloud_done (FtScheduler *s, const FtCloudCall *call, FtCloudResult result, gint64 now);
+
+/* ---- store ---- */
+typedef enum {
+  FT_WRITE_ROSTER_ADD,
+  FT_WRITE_ROSTER_DROP,
+  FT_WRITE_CHUNK,      /* a chunk of a job's done-set */
+  FT_WRITE_CHUNK_DROP,
+  FT_WRITE_JOB_DONE,   /* conditional on the job's stamp */
+  FT_WRITE_JOB_GONE,   /* all tasks of a withdrawn job are gone */
+} FtWriteKind;
+typedef struct {
+  FtWriteKind kind;
+  char *name; /* job or machine */
+  char *addr, *type, *zone;
+  gboolean spot;
+  guint chunk, tasks;
+  guint64 stamp;
+  char *bits;
+} FtWrite;
+void ft_write_free (FtWrite *write);
+guint ft_write_ops (const FtWrite *write);
+/* Writes for one transaction of at most `ops` changes; empty if none is due.
+ * Each batch ends with one of the two calls below before the next is asked for. */
+GPtrArray *ft_scheduler_next_writes (FtScheduler *s, guint ops, gint64 now);
+void ft_scheduler_written (FtScheduler *s, GPtrArray *writes, gint64 now);
+/* `conflicted` names the job whose row has changed, or is NULL: try again. */
+void ft_scheduler_unwritten (FtScheduler *s, GPtrArray *writes, const char *conflicted, gint64 now);
+/* What the row of a conflicted job says: final done, or withdrawn. */
+void ft_scheduler_job_resolved (FtScheduler *s, const char *ref, gboolean done, gint64 now);
+
+/* ---- time ---- */
+/* `may_start`: the lease is valid now. Placement, timeouts, fleet. */
+void ft_scheduler_tick (FtScheduler *s, gint64 now, gboolean may_start);
+/* Runs a placement pass if anything has changed. */
+void ft_scheduler_place (FtScheduler *s, gint64 now, gboolean may_start);
+guint ft_scheduler_open_tasks (const FtScheduler *s);
+/* Machines that should be reporting. */
+guint ft_scheduler_up (const FtScheduler *s);
+
+/* ---- for operators and the mesh ---- */
+typedef void (*FtJobVisitor) (const char *ref, const char *job_class, const char *state, guint tasks, guint done,
+                              guint running, const char *waits_for, gpointer data);
+void ft_scheduler_each_job (FtScheduler *s, FtJobVisitor visit, gpointer data);
+typedef void (*FtMachineVisitor) (const char *name, const char *state, const char *type, const char *zone,
+                                  gboolean spot, guint64 session, guint tasks, const char *unused_why, gpointer data);
+void ft_scheduler_each_machine (FtScheduler *s, FtMachineVisitor visit, gpointer data);
+typedef void (*FtTeamVisitor) (const FtTeamLimit *limit, double cpus, double gpus, gpointer data);
+void ft_scheduler_each_team (FtScheduler *s, FtTeamVisitor visit, gpointer data);
+gboolean ft_scheduler_drain (FtScheduler *s, const char *machine, gboolean drain);
--- /dev/null
+++ b/src/core/types.c
@@ -0,0 +1,119 @@
+#include "core/types.h"
+
+FtCatalog *
+ft_catalog_new (void)
+{
+  FtCatalog *catalog = g_new0 (FtCatalog, 1);
+  catalog->types = g_ptr_array_new_with_free_func ((GDestroyNotify) ft_machine_type_free);
+  catalog->refs = 1;
+  return catalog;
+}
+
+FtCatalog *
+ft_catalog_ref (FtCatalog *catalog)
+{
+  catalog->refs++;
+  return catalog;
+}
+
+void
+ft_catalog_unref (FtCatalog *catalog)
+{
+  if (catalog == NULL || --catalog->refs > 0)
+    return;
+  g_ptr_array_unref (catalog->types);
+  g_free (catalog);
+}
+
+const FtMachineType *
+ft_catalog_find (const FtCatalog *catalog, const char *name)
+{
+  for (guint i = 0; catalog != NULL && i < catalog->types->len; i++) {
+    const FtMachineType *type = g_ptr_array_index (catalog->types, i);
+    if (g_strcmp0 (type->name, name) == 0)
+      return type;
+  }
+  return NULL;
+}
+
+void
+ft_machine_type_free (FtMachineType *type)
+{
+  g_free (type->name);
+  g_strfreev (type->zones);
+  g_free (type);
+}
+
+void
+ft_job_spec_free (FtJobSpec *spec)
+{
+  if (spec == NULL)
+    return;
+  g_free (spec->ref);
+  g_free (spec->job_class);
+  g_free (spec->team);
+  g_free (spec->image);
+  g_free (spec->zone);
+  g_strfreev (spec->types);
+  g_free (spec);
+}
+
+static void
+reported_task_clear (FtReportedTask *task)
+{
+  g_free (task->job);
+}
+
+FtReport *
+ft_report_new (void)
+{
+  FtReport *report = g_new0 (FtReport, 1);
+  report->notice_s = -1;
+  report->tasks = g_array_new (FALSE, TRUE, sizeof (FtReportedTask));
+  g_array_set_clear_func (report->tasks, (GDestroyNotify) reported_task_clear);
+  return report;
+}
+
+void
+ft_report_free (FtReport *report)
+{
+  if (report == NULL)
+    return;
+  g_free (report->machine);
+  g_free (report->addr);
+  g_free (report->type);
+  g_free (report->zone);
+  g_array_unref (report->tasks);
+  g_free (report);
+}
+
+static void
+command_clear (FtCommand *command)
+{
+  g_free (command->job);
+}
+
+GArray *
+ft_commands_new (void)
+{
+  GArray *commands = g_array_new (FALSE, TRUE, sizeof (FtCommand));
+  g_array_set_clear_func (commands, (GDestroyNotify) command_clear);
+  return commands;
+}
+
+static void
+listed_clear (FtListedMachine *listed)
+{
+  g_free (listed->name);
+  g_free (listed->addr);
+  g_free (listed->type);
+  g_free (listed->zone);
+}
+
+GArray *
+ft_listed_new (void)
+{
+  GArray *list = g_array_new (FALSE, TRUE, sizeof (FtListedMachine));
+  g_array_set_clear_func (list, (GDestroyNotify) listed_clear);
+  return list;
+}
--- /dev/null
+++ b/src/core/types.h
@@ -0,0 +1,130 @@
+/* Types shared by the modules of the core and by the layers round it.
+ * Standard terms only: machine, token, session, sequence, team, attempt. */
+#pragma once
+#include <glib.h>
+
+typedef enum { FT_PRIORITY_LOW, FT_PRIORITY_NORMAL, FT_PRIORITY_HIGH, FT_PRIORITY_PRODUCTION } FtPriority;
+
+typedef struct {
+  char *name;
+  double cpus, cpus_max;
+  double gpus, gpus_max;
+} FtTeamLimit;
+
+/* What the core needs of the settings file. Owned by the configuration. */
+typedef struct {
+  char *member;
+  FtTeamLimit *teams;
+  guint n_teams;
+  double report_s, lease_s, cancel_s; /* workers */
+  double list_lag_s, cloud_rps;       /* cloud */
+  double state_rps, state_write_rps;  /* state service */
+  guint value_kb, txn_ops;
+  guint size; /* number of controllers */
+} FtSettings;
+
+/* A machine type of the cloud's catalog. */
+typedef struct {
+  char *name;
+  double cpus, gpus, memory_gb;
+  double cache_gb, fetch_gb_per_s;
+  double price, spot_price; /* an hour */
+  double boot_s;
+  GStrv zones;
+} FtMachineType;
+
+/* The catalog: reference counted, immutable. */
+typedef struct {
+  GPtrArray *types; /* FtMachineType, owned */
+  int refs;
+} FtCatalog;
+
+FtCatalog *ft_catalog_new (void);
+FtCatalog *ft_catalog_ref (FtCatalog *catalog);
+void ft_catalog_unref (FtCatalog *catalog);
+const FtMachineType *ft_catalog_find (const FtCatalog *catalog, const char *name);
+void ft_machine_type_free (FtMachineType *type);
+
+/* A job as it was submitted. Owned by whoever holds the pointer. */
+typedef struct {
+  char *ref;
+  char *job_class;
+  char *team;
+  FtPriority priority;
+  guint tasks;
+  double cpus, gpus, memory_gb;
+  char *image;
+  double image_gb;
+  GStrv types; /* NULL: any */
+  char *zone;  /* NULL: any */
+  gboolean one_zone, spread, spot;
+  double estimate_s, checkpoint_s, save_s;
+  double deadline_s;         /* from the submission; 0: none */
+  gint64 submitted_wall_ms;  /* wall time of the acceptance */
+} FtJobSpec;
+
+void ft_job_spec_free (FtJobSpec *spec);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (FtJobSpec, ft_job_spec_free)
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (FtCatalog, ft_catalog_unref)
+
+typedef enum {
+  FT_REPORTED_FETCHING,
+  FT_REPORTED_RUNNING,
+  FT_REPORTED_SAVING,
+  FT_REPORTED_EXITED,
+} FtReportedState;
+
+typedef enum {
+  FT_WHY_NONE,
+  FT_WHY_DONE,
+  FT_WHY_STOPPED,
+  FT_WHY_ERROR,
+  FT_WHY_NO_ROOM,
+  FT_WHY_BUSY,
+  FT_WHY_UNKNOWN,
+} FtWhy;
+
+typedef struct {
+  char *job; /* job's ref */
+  guint index;
+  guint64 attempt;
+  FtReportedState state;
+  FtWhy why;
+  gboolean saved;
+} FtReportedTask;
+
+typedef struct {
+  char *machine, *addr, *type, *zone;
+  gboolean spot;
+  guint64 session, sequence, token;
+  double notice_s; /* negative: none */
+  GArray *tasks;   /* FtReportedTask */
+} FtReport;
+
+FtReport *ft_report_new (void);
+void ft_report_free (FtReport *report);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (FtReport, ft_report_free)
+
+typedef enum { FT_COMMAND_START, FT_COMMAND_STOP, FT_COMMAND_FORGET } FtCommandOp;
+
+typedef struct {
+  FtCommandOp op;
+  char *job;
+  guint index;
+  guint64 attempt;
+  double grace_s;
+} FtCommand;
+
+/* A new array of FtCommand that frees its elements. */
+GArray *ft_commands_new (void);
+
+typedef enum { FT_LISTED_BOOTING, FT_LISTED_RUNNING, FT_LISTED_FAILED } FtListedState;
+
+typedef struct {
+  char *name, *addr, *type, *zone;
+  gboolean spot;
+  FtListedState state;
+  double age_s;
+} FtListedMachine;
+
+GArray *ft_listed_new (void);
--- /dev/null
+++ b/src/main.c
@@ -0,0 +1,78 @@
+/* flintrack: one controller of the cluster scheduler. */
+#include <stdio.h>
+
+#include <gio/gio.h>
+
+#include "config.h"
+#include "log.h"
+#include "net/node.h"
+
+enum { EXIT_USAGE = 2, EXIT_SETTINGS = 3, EXIT_LISTEN = 4 };
+
+static int
+run (const char *path)
+{
+  g_autoptr (GError) error = NULL;
+  g_autoptr (FtConfig) config = ft_config_load (path, &error);
+  if (config == NULL) {
+    fprintf (stderr, "flintrack: %s\n", error->message);
+    return EXIT_SETTINGS;
+  }
+  ft_log_init (config->member);
+  FtNode *node = ft_node_new (config, &error);
+  if (node == NULL) {
+    fprintf (stderr, "flintrack: cannot listen: %s\n", error->message);
+    return EXIT_LISTEN;
+  }
+  g_autoptr (GMainLoop) loop = g_main_loop_new (NULL, FALSE);
+  g_main_loop_run (loop);
+  ft_node_free (node);
+  return 0;
+}
+
+static int
+check (const char *path)
+{
+  g_autoptr (GError) error = NULL;
+  g_autoptr (FtConfig) config = ft_config_load (path, &error);
+  if (config == NULL) {
+    fprintf (stderr, "flintrack: %s\n", error->message);
+    return EXIT_SETTINGS;
+  }
+  printf ("%s: settings of %s are valid (%u teams, %u controllers)\n", path, config->member, config->core.n_teams,
+          config->core.size);
+  return 0;
+}
+
+int
+main (int argc, char **argv)
+{
+  g_autofree char *config = NULL, *to_check = NULL;
+  gboolean version = FALSE;
+  g_autoptr (GError) error = NULL;
+  const GOptionEntry entries[] = {
+    { "config", 'c', 0, G_OPTION_ARG_FILENAME, &config, "Run a controller with this settings file", "FILE" },
+    { "check", 0, 0, G_OPTION_ARG_FILENAME, &to_check, "Check a settings file and exit", "FILE" },
+    { "version", 0, 0, G_OPTION_ARG_NONE, &version, "Print the version and exit", NULL },
+    { NULL, 0, 0, 0, NULL, NULL, NULL },
+  };
+  g_autoptr (GOptionContext) context = g_option_context_new ("- a controller of the flintrack cluster scheduler");
+  g_option_context_add_main_entries (context, entries, NULL);
+  g_option_context_set_description (
+      context, "Exit codes: 2 wrong arguments, 3 settings missing or wrong, 4 an address cannot be listened on.\n"
+               "LOG_LEVEL (error, info, debug) sets what is logged to standard error.");
+  if (!g_option_context_parse (context, &argc, &argv, &error) || argc > 1) {
+    fprintf (stderr, "flintrack: %s\n", error != NULL ? error->message : "unexpected argument");
+    return EXIT_USAGE;
+  }
+  if (version) {
+    printf ("flintrack %s\n", FT_VERSION);
+    return 0;
+  }
+  if (to_check != NULL)
+    return check (to_check);
+  if (config != NULL)
+    return run (config);
+  fprintf (stderr, "flintrack: --config FILE is needed; see --help\n");
+  return EXIT_USAGE;
+}
--- /dev/null
+++ b/src/net/http.h
@@ -0,0 +1,41 @@
+/* HTTP server and client on libsoup. Bodies are value trees; users, workers,
+ * cloud and state service speak CBOR, the mesh and the admin API JSON. */
+#pragma once
+#include <glib.h>
+#include <jansson.h>
+
+typedef enum { FT_BODY_CBOR, FT_BODY_JSON } FtBodyKind;
+
+/* ---- server ---- */
+typedef struct _FtHttpServer FtHttpServer;
+typedef struct _FtHttpRequest FtHttpRequest;
+/* Called once per request; must lead to exactly one ft_http_respond(), now or later. */
+typedef void (*FtHttpHandler) (FtHttpRequest *request, gpointer data);
+
+/* NULL and `error` set if the address cannot be listened on. `most` open connections are kept. */
+FtHttpServer *ft_http_server_new (const char *addr, FtBodyKind kind, guint most, FtHttpHandler handler, gpointer data,
+                                  GError **error);
+void ft_http_server_free (FtHttpServer *server);
+guint ft_http_server_connections (const FtHttpServer *server);
+
+const char *ft_http_method (const FtHttpRequest *request);
+const char *ft_http_path (const FtHttpRequest *request);
+/* The decoded body; NULL if it is malformed, too large or missing. Borrowed. */
+const json_t *ft_http_body (FtHttpRequest *request);
+/* Takes `body` (may be NULL) and frees the request. */
+void ft_http_respond (FtHttpRequest *request, guint status, json_t *body);
+/* 503 with Retry-After, at once. */
+void ft_http_unavailable (FtHttpRequest *request);
+
+/* ---- client ---- */
+typedef struct _FtHttpClient FtHttpClient;
+/* `status` is 0 when no answer came; `body` is NULL if there is none or it is
+ * malformed. Borrowed for the call. */
+typedef void (*FtHttpDone) (guint status, const json_t *body, gpointer data);
+
+FtHttpClient *ft_http_client_new (guint per_host, guint most);
+void ft_http_client_free (FtHttpClient *client);
+/* `body` may be NULL and stays the caller's. `once`: the request must not be
+ * sent again by the library, so it gets a connection of its own. */
+void ft_http_send (FtHttpClient *client, const char *method, const char *addr, const char *path, FtBodyKind kind,
+                   const json_t *body, double timeout_s, gboolean once, FtHttpDone done, gpointer data);
--- /dev/null
+++ b/src/net/leader.c
@@ -0,0 +1,537 @@
+/* What a leader does with the store, the workers and the cloud: it carries the
+ * scheduler's actions out and the answers back. */
+#include <string.h>
+
+#include "core/constants.h"
+#include "net/node.h"
+#include "wire/cloud.h"
+#include "wire/messages.h"
+#include "wire/store.h"
+
+/* Context of a request; answers of an earlier term are dropped. */
+typedef struct Call {
+  FtNode *node;
+  guint term;
+  gint64 sent_at;
+  GPtrArray *writes;
+  guint64 batch;
+  FtDirect *direct;
+  FtCloudCall *cloud;
+  GArray *list;
+  char *text;
+  const char *prefix; /* static */
+  void (*again) (struct Call *call);
+} Call;
+
+static Call *
+call_new (FtNode *node)
+{
+  Call *call = g_new0 (Call, 1);
+  call->node = node;
+  call->term = node->term;
+  call->sent_at = g_get_monotonic_time ();
+  return call;
+}
+
+static void
+call_free (Call *call)
+{
+  if (call->writes != NULL)
+    g_ptr_array_unref (call->writes);
+  if (call->list != NULL)
+    g_array_unref (call->list);
+  ft_direct_free (call->direct);
+  ft_cloud_call_free (call->cloud);
+  g_free (call->text);
+  g_free (call);
+}
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (Call, call_free)
+
+static gboolean
+stale (const Call *call)
+{
+  return call->term != call->node->term || call->node->scheduler == NULL;
+}
+
+static gboolean
+on_again (gpointer data)
+{
+  Call *call = data;
+  if (stale (call))
+    call_free (call);
+  else
+    call->again (call);
+  return G_SOURCE_REMOVE;
+}
+
+/* Sends the request again after a pause, unless the leadership is over by then. */
+static void
+try_again (Call *call, void (*again) (Call *call))
+{
+  call->again = again;
+  g_timeout_add ((guint) (FT_BACKOFF_FIRST_S * 1000), on_again, call);
+}
+
+static gint64
+wall_ms (void)
+{
+  return g_get_real_time () / 1000;
+}
+
+static gint64
+soon (FtNode *node)
+{
+  return g_get_monotonic_time () + (gint64) (g_rand_double_range (node->random, 0.5, 1.5) * FT_BACKOFF_FIRST_S * FT_SECOND);
+}
+
+/* ---- recovery: jobs, done-sets, roster ---- */
+
+static void load_next (FtNode *node, const char *prefix, const char *after);
+
+static void
+load_open_row (FtNode *node, const FtRow *row, gboolean fresh)
+{
+  gboolean withdrawn;
+  g_autofree char *ref = ft_key_open_ref (row->key, &withdrawn);
+  gint64 now = g_get_monotonic_time ();
+  if (ref == NULL || row->value == NULL)
+    return;
+  if (withdrawn) {
+    ft_scheduler_job_withdrawn (node->scheduler, ref, now);
+    return;
+  }
+  FtJobSpec *spec = ft_row_open_parse (ref, row->value);
+  if (spec == NULL)
+    g_warning ("job %s: its row cannot be read", ref);
+  else if (fresh)
+    ft_scheduler_job_added (node->scheduler, spec, row->stamp, now, wall_ms ());
+  else
+    ft_scheduler_load_job (node->scheduler, spec, row->stamp, now, wall_ms ());
+}
+
+static void
+load_row (FtNode *node, const FtRow *row)
+{
+  g_autofree char *ref = NULL;
+  guint chunk;
+  if (g_str_has_prefix (row->key, FT_PREFIX_OPEN)) {
+    /* After a watch that fell behind, only jobs accepted meanwhile are new. */
+    load_open_row (node, row, ft_scheduler_is_loaded (node->scheduler));
+  } else if (g_str_has_prefix (row->key, FT_PREFIX_ROSTER)) {
+    if (!ft_row_machine_parse (node->scheduler, row))
+      g_warning ("machine %s: its row cannot be read", row->key);
+  } else if (ft_key_chunk_parse (row->key, &ref, &chunk) && ft_row_chunk_bits (row->value) != NULL) {
+    ft_scheduler_load_done (node->scheduler, ref, chunk, ft_row_chunk_bits (row->value));
+  }
+}
+
+static void
+load_finished (FtNode *node, const char *prefix)
+{
+  if (strcmp (prefix, FT_PREFIX_OPEN) == 0 && !ft_scheduler_is_loaded (node->scheduler)) {
+    load_next (node, FT_PREFIX_DONE, NULL);
+  } else if (strcmp (prefix, FT_PREFIX_DONE) == 0) {
+    load_next (node, FT_PREFIX_ROSTER, NULL);
+  } else {
+    ft_scheduler_loaded (node->scheduler, g_get_monotonic_time ());
+    node->last_watch = g_get_monotonic_time ();
+    node->next_watch = 0;
+    g_message ("node %s: leader under token %" G_GUINT64_FORMAT ", recovered the store", node->config->member,
+               ft_lease_token (node->lease));
+  }
+}
+
+static void load_page (Call *call);
+
+static void
+on_load (guint status, const json_t *body, gpointer data)
+{
+  Call *call = data;
+  FtNode *node = call->node;
+  gboolean more = FALSE;
+  if (stale (call)) {
+    call_free (call);
+    return;
+  }
+  g_autoptr (GArray) rows = status == 200 ? ft_store_rows (body, &more) : NULL;
+  if (rows == NULL) {
+    try_again (call, load_page);
+    return;
+  }
+  g_autoptr (Call) owned = call;
+  if (strcmp (call->prefix, FT_PREFIX_OPEN) == 0 && call->text == NULL)
+    ft_store_revision (body, &node->watch_since); /* changes since the first page come by the watch */
+  for (guint i = 0; i < rows->len; i++)
+    load_row (node, &g_array_index (rows, FtRow, i));
+  if (more && rows->len > 0)
+    load_next (node, call->prefix, g_array_index (rows, FtRow, rows->len - 1).key);
+  else
+    load_finished (node, call->prefix);
+}
+
+static void
+load_page (Call *call)
+{
+  ft_state_list (call->node->state, call->prefix, call->text, FT_STATE_LEASE, on_load, call);
+}
+
+static void
+load_next (FtNode *node, const char *prefix, const char *after)
+{
+  Call *call = call_new (node);
+  call->text = g_strdup (after);
+  call->prefix = prefix;
+  load_page (call);
+}
+
+/* ---- the watch ---- */
+
+static void
+on_watch (guint status, const json_t *body, gpointer data)
+{
+  g_autoptr (Call) call = data;
+  FtNode *node = call->node;
+  if (stale (call))
+    return;
+  node->watch_in_flight = FALSE;
+  if (status == 410) {
+    load_next (node, FT_PREFIX_OPEN, NULL);
+    return;
+  }
+  g_autoptr (GArray) rows = status == 200 ? ft_store_events (body) : NULL;
+  if (rows == NULL || !ft_store_revision (body, &node->watch_since)) {
+    node->next_watch = soon (node);
+    return;
+  }
+  node->last_watch = MAX (node->last_watch, call->sent_at);
+  for (guint i = 0; i < rows->len; i++)
+    load_open_row (node, &g_array_index (rows, FtRow, i), TRUE);
+  ft_node_pump (node);
+}
+
+static void
+watch (FtNode *node, gint64 now)
+{
+  if (node->watch_in_flight || now < node->next_watch || !ft_scheduler_is_loaded (node->scheduler))
+    return;
+  node->watch_in_flight = TRUE;
+  ft_state_follow (node->state, FT_PREFIX_OPEN, node->watch_since, on_watch, call_new (node));
+}
+
+/* ---- batches ---- */
+
+static void
+batch_over (FtNode *node, Call *call, gboolean applied, const char *conflicted)
+{
+  gint64 now = g_get_monotonic_time ();
+  node->batch_in_flight = FALSE;
+  if (applied)
+    ft_scheduler_written (node->scheduler, call->writes, now);
+  else
+    ft_scheduler_unwritten (node->scheduler, call->writes, conflicted, now);
+  ft_node_pump (node);
+}
+
+static void read_journal (Call *call);
+
+/* Was the unanswered batch applied? If not, the next one moves the journal row
+ * and so keeps a late copy of this one from being applied. */
+static void
+on_journal (guint status, const json_t *body, gpointer data)
+{
+  Call *call = data;
+  FtNode *node = call->node;
+  FtRow row;
+  if (stale (call)) {
+    call_free (call);
+    return;
+  }
+  if (status != 200 || !ft_store_row (body, &row)) {
+    try_again (call, read_journal);
+    return;
+  }
+  g_autoptr (Call) owned = call;
+  if ((guint64) json_integer_value (json_object_get (row.value, "token")) != ft_lease_token (node->lease)) {
+    ft_node_step_down (node, "the journal is another leader's");
+    return;
+  }
+  gboolean applied = (guint64) json_integer_value (json_object_get (row.value, "batch")) == call->batch;
+  node->journal_stamp = row.stamp;
+  batch_over (node, call, applied, NULL);
+}
+
+static void
+read_journal (Call *call)
+{
+  ft_state_get (call->node->state, FT_KEY_JOURNAL, FT_STATE_COMMIT, on_journal, call);
+}
+
+static void ask_job (Call *call);
+
+static void
+on_conflicted_job (guint status, const json_t *body, gpointer data)
+{
+  Call *call = data;
+  FtNode *node = call->node;
+  FtRow row;
+  guint tasks;
+  if (stale (call)) {
+    call_free (call);
+    return;
+  }
+  const char *state = status == 200 && ft_store_row (body, &row) ? ft_row_job_state (row.value, &tasks) : NULL;
+  if (state == NULL) {
+    try_again (call, ask_job); /* the job stays as it is until the answer is known */
+    return;
+  }
+  ft_scheduler_job_resolved (node->scheduler, call->text, strcmp (state, "done") == 0, g_get_monotonic_time ());
+  call_free (call);
+  ft_node_pump (node);
+}
+
+static void
+ask_job (Call *call)
+{
+  g_autofree char *key = ft_key_job (call->text);
+  ft_state_get (call->node->state, key, FT_STATE_COMMIT, on_conflicted_job, call);
+}
+
+static void
+batch_refused (FtNode *node, Call *call, const json_t *body)
+{
+  if (ft_store_failed (body, FT_KEY_FENCE)) {
+    ft_node_step_down (node, "the fence has moved on");
+    return;
+  }
+  if (ft_store_failed (body, FT_KEY_JOURNAL)) {
+    g_autoptr (Call) again = call_new (node);
+    again->writes = g_ptr_array_ref (call->writes);
+    again->batch = call->batch;
+    read_journal (g_steal_pointer (&again));
+    return;
+  }
+  const char *ref = ft_store_conflicted_job (body, call->writes);
+  if (ref != NULL) {
+    Call *ask = call_new (node);
+    ask->text = g_strdup (ref);
+    ask_job (ask);
+  }
+  batch_over (node, call, FALSE, ref);
+}
+
+static void
+on_batch (guint status, const json_t *body, gpointer data)
+{
+  g_autoptr (Call) call = data;
+  FtNode *node = call->node;
+  guint64 stamp;
+  if (stale (call))
+    return;
+  if (status == 200 && ft_store_revision (body, &stamp)) {
+    node->journal_stamp = stamp;
+    batch_over (node, call, TRUE, NULL);
+  } else if (status == 409) {
+    batch_refused (node, call, body);
+  } else if (status == 503 || status == 429) {
+    node->next_batch = soon (node);
+    batch_over (node, call, FALSE, NULL);
+  } else {
+    read_journal (g_steal_pointer (&call));
+  }
+}
+
+static void
+commit_batch (FtNode *node, gint64 now)
+{
+  if (node->batch_in_flight || now < node->next_batch)
+    return;
+  GPtrArray *writes = ft_scheduler_next_writes (node->scheduler, node->config->core.txn_ops - 1, now);
+  if (writes->len == 0) {
+    g_ptr_array_unref (writes);
+    return;
+  }
+  Call *call = call_new (node);
+  call->writes = writes;
+  call->batch = ++node->journal_batch;
+  json_t *txn = ft_txn_new ();
+  ft_txn_if (txn, FT_KEY_FENCE, ft_lease_fence_stamp (node->lease));
+  ft_txn_if (txn, FT_KEY_JOURNAL, node->journal_stamp);
+  ft_txn_put (txn, FT_KEY_JOURNAL, ft_row_journal (ft_lease_token (node->lease), call->batch));
+  for (guint i = 0; i < writes->len; i++)
+    ft_txn_add_write (txn, g_ptr_array_index (writes, i));
+  node->batch_in_flight = TRUE;
+  ft_state_commit (node->state, txn, FT_STATE_COMMIT, on_batch, call);
+  json_decref (txn);
+}
+
+/* ---- direct commands ---- */
+
+static void
+on_direct (guint status, const json_t *body, gpointer data)
+{
+  g_autoptr (Call) call = data;
+  FtNode *node = call->node;
+  if (stale (call))
+    return;
+  node->directs--;
+  g_autoptr (FtReport) report = status == 200 || status == 409 ? ft_message_report (body) : NULL;
+  FtDirectResult result = status == 200 && report != NULL   ? FT_DIRECT_OK
+                          : status == 409 && report != NULL ? FT_DIRECT_CONFLICT
+                                                            : FT_DIRECT_UNANSWERED;
+  if (!ft_scheduler_direct_done (node->scheduler, call->direct, result, report, g_get_monotonic_time ())) {
+    ft_node_step_down (node, "a worker has seen a higher token");
+    return;
+  }
+  ft_node_pump (node);
+}
+
+static void
+send_directs (FtNode *node, gint64 now)
+{
+  while (node->directs < FT_DIRECT_MOST) {
+    FtDirect *direct = ft_scheduler_next_direct (node->scheduler, now);
+    if (direct == NULL)
+      return;
+    Call *call = call_new (node);
+    call->direct = direct;
+    json_t *body = ft_message_commands (ft_lease_token (node->lease), direct->session, direct->commands);
+    node->directs++;
+    ft_http_send (node->workers, "POST", direct->addr, "/commands", FT_BODY_CBOR, body, FT_COMMAND_TIMEOUT_S, TRUE,
+                  on_direct, call);
+    json_decref (body);
+  }
+}
+
+/* ---- the cloud ---- */
+
+static void
+on_cloud (guint status, const json_t *body, gpointer data)
+{
+  g_autoptr (Call) call = data;
+  FtNode *node = call->node;
+  if (stale (call))
+    return;
+  node->cloud_calls--;
+  FtCloudResult result = FT_CLOUD_FAILED;
+  if (status == 200 && (call->cloud->op == FT_CLOUD_RETURN || ft_cloud_rented (body, call->cloud)))
+    result = FT_CLOUD_OK;
+  else if (status == 503 && g_strcmp0 (json_string_value (json_object_get (body, "error")), "no capacity") == 0)
+    result = FT_CLOUD_REFUSED;
+  else if (status == 400)
+    result = FT_CLOUD_REFUSED;
+  ft_scheduler_cloud_done (node->scheduler, call->cloud, result, g_get_monotonic_time ());
+  ft_node_pump (node);
+}
+
+static void
+call_cloud (FtNode *node, gint64 now)
+{
+  while (node->cloud_calls < FT_CLOUD_CALLS_MOST && ft_budget_has (&node->cloud_budget, 1, now)) {
+    FtCloudCall *cloud = ft_scheduler_next_cloud (node->scheduler, now);
+    if (cloud == NULL)
+      return;
+    Call *call = call_new (node);
+    call->cloud = cloud;
+    gboolean rent = cloud->op == FT_CLOUD_RENT;
+    json_t *body = rent ? ft_cloud_rent_body (cloud) : ft_cloud_return_body (cloud);
+    node->cloud_calls++;
+    ft_budget_take (&node->cloud_budget, 1);
+    ft_http_send (node->cloud, "POST", node->config->cloud, rent ? "/rentals" : "/rentals/return", FT_BODY_CBOR, body,
+                  FT_CLOUD_TIMEOUT_S, FALSE, on_cloud, call);
+    json_decref (body);
+  }
+}
+
+static void list_machines (FtNode *node, GArray *list);
+
+static void
+on_list (guint status, const json_t *body, gpointer data)
+{
+  g_autoptr (Call) call = data;
+  FtNode *node = call->node;
+  gboolean more = FALSE;
+  if (stale (call))
+    return;
+  node->list_in_flight = FALSE;
+  if (status != 200 || !ft_cloud_list (body, call->list, &more))
+    return;
+  if (more && call->list->len > 0) {
+    list_machines (node, g_array_ref (call->list));
+    return;
+  }
+  ft_scheduler_listed (node->scheduler, call->list, g_get_monotonic_time ());
+  ft_node_pump (node);
+}
+
+/* Takes the list read so far. */
+static void
+list_machines (FtNode *node, GArray *list)
+{
+  const char *last = list->len > 0 ? g_array_index (list, FtListedMachine, list->len - 1).name : NULL;
+  g_autofree char *path = last != NULL
+                              ? g_strdup_printf ("/rentals?since=%s&limit=%d", last, FT_CLOUD_LIST_LIMIT)
+                              : g_strdup_printf ("/rentals?limit=%d", FT_CLOUD_LIST_LIMIT);
+  Call *call = call_new (node);
+  call->list = list;
+  node->list_in_flight = TRUE;
+  ft_budget_take (&node->cloud_budget, 1);
+  ft_http_send (node->cloud, "GET", node->config->cloud, path, FT_BODY_CBOR, NULL, FT_CLOUD_TIMEOUT_S, FALSE, on_list,
+                call);
+}
+
+/* ---- leadership ---- */
+
+void
+ft_leader_begin (FtNode *node, guint64 stamp)
+{
+  gint64 now = g_get_monotonic_time ();
+  ft_leader_end (node);
+  g_autoptr (FtCatalog) catalog = node->catalog != NULL ? ft_catalog_ref (node->catalog) : ft_catalog_new ();
+  node->scheduler = ft_scheduler_new (&node->config->core, catalog, ft_lease_token (node->lease), node->hold_us, now,
+                                      g_rand_int (node->random));
+  node->journal_stamp = stamp;
+  node->journal_batch = 0;
+  node->led_since = node->last_report = node->last_watch = now;
+  node->next_list = node->next_scheduler_tick = now;
+  ft_state_set_share (node->state, FT_LEADER_SHARE);
+  load_next (node, FT_PREFIX_OPEN, NULL);
+}
+
+void
+ft_leader_end (FtNode *node)
+{
+  node->term++;
+  node->batch_in_flight = node->renew_in_flight = node->watch_in_flight = node->list_in_flight = FALSE;
+  node->directs = node->cloud_calls = 0;
+  node->next_batch = node->next_watch = 0;
+  g_clear_pointer (&node->scheduler, ft_scheduler_free);
+  ft_state_set_share (node->state, FT_FOLLOWER_SHARE);
+}
+
+void
+ft_leader_pump (FtNode *node, gint64 now)
+{
+  if (!ft_scheduler_is_loaded (node->scheduler))
+    return;
+  ft_scheduler_place (node->scheduler, now, ft_lease_may_start (node->lease, now));
+  commit_batch (node, now);
+  send_directs (node, now);
+  if (ft_lease_may_start (node->lease, now))
+    call_cloud (node, now);
+}
+
+void
+ft_leader_tick (FtNode *node, gint64 now)
+{
+  watch (node, now);
+  if (now >= node->next_list && !node->list_in_flight && ft_budget_has (&node->cloud_budget, 1, now)
+      && ft_scheduler_is_loaded (node->scheduler)) {
+    node->next_list = now + (gint64) (FT_LIST_EVERY_S * FT_SECOND);
+    list_machines (node, ft_listed_new ());
+  }
+  if (now >= node->next_scheduler_tick) {
+    node->next_scheduler_tick = now + (gint64) (FT_SCHEDULER_TICK_S * FT_SECOND);
+    ft_scheduler_tick (node->scheduler, now, ft_lease_may_start (node->lease, now));
+    ft_leader_pump (node, now);
+  }
+}
--- /dev/null
+++ b/src/net/mesh.c
@@ -0,0 +1,121 @@
+/* What controllers tell each other: a heartbeat with the sight of the state
+ * service, and the leader's summary of running jobs. Nothing here decides who
+ * leads; the fence does. */
+#include <string.h>
+
+#include "core/constants.h"
+#include "net/node.h"
+#include "wire/fields.h"
+
+typedef struct {
+  FtNode *node;
+  guint peer;
+} Beat;
+
+static void
+on_beat (guint status, const json_t *body, gpointer data)
+{
+  g_autofree Beat *beat = data;
+  (void) status;
+  (void) body;
+  g_array_index (beat->node->peers, FtPeerView, beat->peer).in_flight = FALSE;
+}
+
+static void
+add_job (const char *ref, const char *job_class, const char *state, guint tasks, guint done, guint running,
+         const char *waits_for, gpointer data)
+{
+  (void) job_class;
+  (void) state;
+  (void) tasks;
+  (void) waits_for;
+  if (done > 0 || running > 0)
+    json_object_set_new (data, ref, json_pack ("[i, i]", (int) done, (int) running));
+}
+
+static json_t *
+beat_body (FtNode *node, gint64 now)
+{
+  json_t *body = json_pack ("{s:s, s:b}", "member", node->config->member, "state_ok",
+                            ft_state_contact (node->state, now));
+  if (node->scheduler == NULL)
+    return body;
+  json_t *jobs = json_object ();
+  ft_scheduler_each_job (node->scheduler, add_job, jobs);
+  json_object_set_new (body, "token", json_integer ((json_int_t) ft_lease_token (node->lease)));
+  json_object_set_new (body, "jobs", jobs);
+  return body;
+}
+
+void
+ft_mesh_tick (FtNode *node, gint64 now)
+{
+  if (now < node->next_mesh)
+    return;
+  node->next_mesh = now + (gint64) (FT_MESH_EVERY_S * FT_SECOND);
+  json_t *body = beat_body (node, now);
+  for (guint i = 0; i < node->peers->len; i++) {
+    FtPeerView *view = &g_array_index (node->peers, FtPeerView, i);
+    if (view->in_flight)
+      continue;
+    Beat *beat = g_new0 (Beat, 1);
+    beat->node = node;
+    beat->peer = i;
+    view->in_flight = TRUE;
+    ft_http_send (node->mesh, "POST", view->peer->addr, "/mesh/beat", FT_BODY_JSON, body, FT_MESH_TIMEOUT_S, FALSE,
+                  on_beat, beat);
+  }
+  json_decref (body);
+}
+
+static void
+take_summary (FtNode *node, const char *member, guint64 token, const json_t *jobs)
+{
+  const char *ref;
+  json_t *item;
+  if (token < node->mesh_token)
+    return;
+  node->mesh_token = token;
+  g_free (node->mesh_leader);
+  node->mesh_leader = g_strdup (member);
+  g_hash_table_remove_all (node->mesh_jobs);
+  json_object_foreach ((json_t *) jobs, ref, item)
+  {
+    FtJobView *view = g_new0 (FtJobView, 1);
+    view->done = (guint) json_integer_value (json_array_get (item, 0));
+    view->running = (guint) json_integer_value (json_array_get (item, 1));
+    g_hash_table_insert (node->mesh_jobs, g_strdup (ref), view);
+  }
+}
+
+static void
+handle_beat (FtNode *node, FtHttpRequest *request)
+{
+  const json_t *body = ft_http_body (request);
+  const char *member = json_string_value (json_object_get (body, "member"));
+  guint64 token;
+  for (guint i = 0; member != NULL && i < node->peers->len; i++) {
+    FtPeerView *view = &g_array_index (node->peers, FtPeerView, i);
+    if (strcmp (view->peer->member, member) != 0)
+      continue;
+    view->heard_at = g_get_monotonic_time ();
+    view->state_ok = json_is_true (json_object_get (body, "state_ok"));
+    if (ft_field_count (body, "token", 1, G_MAXINT32, &token))
+      take_summary (node, member, token, json_object_get (body, "jobs"));
+    ft_http_respond (request, 200, json_object ());
+    return;
+  }
+  ft_http_respond (request, 400, NULL);
+}
+
+void
+ft_mesh_handle (FtHttpRequest *request, gpointer data)
+{
+  const char *path = ft_http_path (request);
+  if (strcmp (path, "/mesh/beat") == 0 && strcmp (ft_http_method (request), "POST") == 0)
+    handle_beat (data, request);
+  else if (g_str_has_prefix (path, "/admin/"))
+    ft_admin_handle (data, request);
+  else
+    ft_http_respond (request, 404, NULL);
+}
--- /dev/null
+++ b/src/net/node.c
@@ -0,0 +1,277 @@
+#include "net/node.h"
+
+#include "core/constants.h"
+#include "wire/cloud.h"
+#include "wire/store.h"
+
+gboolean
+ft_node_leads (const FtNode *node)
+{
+  return node->scheduler != NULL;
+}
+
+void
+ft_node_step_down (FtNode *node, const char *why)
+{
+  g_message ("node %s: steps down: %s", node->config->member, why);
+  ft_lease_lost (node->lease, g_get_monotonic_time ());
+  ft_leader_end (node);
+}
+
+void
+ft_node_pump (FtNode *node)
+{
+  if (node->scheduler != NULL)
+    ft_leader_pump (node, g_get_monotonic_time ());
+}
+
+/* ---- the lease ---- */
+
+typedef struct {
+  FtNode *node;
+  gint64 sent_at;
+  guint term;
+} LeaseCall;
+
+static LeaseCall *
+lease_call (FtNode *node)
+{
+  LeaseCall *call = g_new0 (LeaseCall, 1);
+  call->node = node;
+  call->sent_at = g_get_monotonic_time ();
+  call->term = node->term;
+  return call;
+}
+
+static void
+on_sweep (guint status, const json_t *body, gpointer data)
+{
+  g_autofree LeaseCall *call = data;
+  FtNode *node = call->node;
+  gint64 now = g_get_monotonic_time ();
+  node->sweep_in_flight = FALSE;
+  gboolean more;
+  g_autoptr (GArray) rows = status == 200 ? ft_store_rows (body, &more) : NULL;
+  FtLeaseRows seen = { 0 };
+  if (rows != NULL && ft_row_lease_parse (rows, &seen))
+    ft_lease_observe (node->lease, now, &seen);
+  else
+    ft_lease_blind (node->lease, now);
+  ft_lease_rows_clear (&seen);
+}
+
+static void
+on_claimed (guint status, const json_t *body, gpointer data)
+{
+  g_autofree LeaseCall *call = data;
+  FtNode *node = call->node;
+  guint64 stamp;
+  if (ft_lease_state (node->lease) != FT_LEASE_ACQUIRING)
+    return;
+  if (status != 200 || !ft_store_revision (body, &stamp)) {
+    ft_lease_claim_failed (node->lease, g_get_monotonic_time ());
+    return;
+  }
+  ft_lease_acquired (node->lease, call->sent_at, stamp);
+  ft_leader_begin (node, stamp);
+}
+
+static void
+claim (FtNode *node, gint64 now)
+{
+  FtLeaseClaim c = ft_lease_claim (node->lease, now);
+  json_t *txn = ft_txn_new ();
+  ft_txn_if (txn, FT_KEY_FENCE, c.fence_stamp);
+  if (c.check_renewal)
+    ft_txn_if (txn, FT_KEY_RENEWAL, c.renewal_stamp);
+  ft_txn_put (txn, FT_KEY_FENCE, ft_row_fence (c.token, node->config->member, node->incarnation));
+  ft_txn_put (txn, FT_KEY_RENEWAL, ft_row_renewal (c.token, FALSE));
+  ft_txn_put (txn, FT_KEY_JOURNAL, ft_row_journal (c.token, 0));
+  ft_state_commit (node->state, txn, FT_STATE_LEASE, on_claimed, lease_call (node));
+  json_decref (txn);
+}
+
+static void
+on_renewed (guint status, const json_t *body, gpointer data)
+{
+  g_autofree LeaseCall *call = data;
+  FtNode *node = call->node;
+  (void) body;
+  if (call->term != node->term)
+    return;
+  node->renew_in_flight = FALSE;
+  if (status == 200)
+    ft_lease_renewed (node->lease, call->sent_at);
+  else if (status == 409)
+    ft_node_step_down (node, "the fence has moved on");
+  else
+    ft_lease_renew_failed (node->lease, g_get_monotonic_time ());
+}
+
+static void
+renew (FtNode *node, gboolean release, FtHttpDone done)
+{
+  json_t *txn = ft_txn_new ();
+  ft_txn_if (txn, FT_KEY_FENCE, ft_lease_fence_stamp (node->lease));
+  ft_txn_put (txn, FT_KEY_RENEWAL, ft_row_renewal (ft_lease_token (node->lease), release));
+  ft_state_commit (node->state, txn, FT_STATE_LEASE, done, lease_call (node));
+  json_decref (txn);
+}
+
+static void
+on_released (guint status, const json_t *body, gpointer data)
+{
+  (void) status;
+  (void) body;
+  g_free (data);
+}
+
+/* Cut off from the workers while the store answers: somebody else may reach them. */
+static gboolean
+cut_off (const FtNode *node, gint64 now)
+{
+  const FtSettings *s = &node->config->core;
+  gint64 gap = (gint64) ((s->report_s * 1.25 + FT_CUT_OFF_MARGIN_S) * FT_SECOND);
+  if (now - node->led_since < (gint64) (FT_CUT_OFF_GRACE_S * FT_SECOND))
+    return FALSE;
+  return node->config->peers->len > 0 && now - node->last_report > gap
+         && ft_scheduler_up (node->scheduler) >= FT_CUT_OFF_MACHINES;
+}
+
+static void
+lease_tick (FtNode *node, gint64 now)
+{
+  ft_lease_tick (node->lease, now);
+  if (ft_lease_sweep_due (node->lease, now) && !node->sweep_in_flight) {
+    node->sweep_in_flight = TRUE;
+    ft_state_list (node->state, FT_PREFIX_LEASE, NULL, FT_STATE_LEASE, on_sweep, lease_call (node));
+  }
+  if (ft_lease_acquire_due (node->lease, now) && ft_state_contact (node->state, now)) {
+    claim (node, now);
+  } else if (ft_lease_renew_due (node->lease, now) && !node->renew_in_flight) {
+    node->renew_in_flight = TRUE;
+    ft_lease_renew_sent (node->lease, now);
+    renew (node, FALSE, on_renewed);
+  }
+  if (node->scheduler != NULL && ft_lease_may_start (node->lease, now) && cut_off (node, now)) {
+    renew (node, TRUE, on_released);
+    g_warning ("node %s: hears from no worker, gives the lease up", node->config->member);
+    ft_lease_released (node->lease, now);
+    ft_leader_end (node);
+  }
+}
+
+/* ---- the catalog ---- */
+
+static void
+on_catalog (guint status, const json_t *body, gpointer data)
+{
+  FtNode *node = data;
+  FtCatalog *catalog = status == 200 ? ft_cloud_catalog (body) : NULL;
+  node->catalog_in_flight = FALSE;
+  node->next_catalog = g_get_monotonic_time () + (gint64) ((catalog != NULL ? FT_CATALOG_EVERY_S : 1) * FT_SECOND);
+  if (catalog == NULL)
+    return;
+  ft_catalog_unref (node->catalog);
+  node->catalog = catalog;
+  if (node->scheduler != NULL)
+    ft_scheduler_set_catalog (node->scheduler, catalog);
+}
+
+static void
+catalog_tick (FtNode *node, gint64 now)
+{
+  if (node->catalog_in_flight || now < node->next_catalog)
+    return;
+  node->catalog_in_flight = TRUE;
+  ft_http_send (node->cloud, "GET", node->config->cloud, "/catalog", FT_BODY_CBOR, NULL, FT_CLOUD_TIMEOUT_S, FALSE,
+                on_catalog, node);
+}
+
+static gboolean
+on_tick (gpointer data)
+{
+  FtNode *node = data;
+  gint64 now = g_get_monotonic_time ();
+  lease_tick (node, now);
+  catalog_tick (node, now);
+  ft_mesh_tick (node, now);
+  if (node->scheduler != NULL)
+    ft_leader_tick (node, now);
+  return G_SOURCE_CONTINUE;
+}
+
+/* ---- life ---- */
+
+/* How long a lapsed leader may go on answering reports: what it keeps alive
+ * must still be gone within cancel_s of a withdrawal it cannot see. */
+static gint64
+hold_time (const FtSettings *s)
+{
+  double hold = s->cancel_s - s->lease_s - FT_HOLD_MARGIN_S - s->cancel_s * FT_CLOCK_DRIFT;
+  return (gint64) (MAX (hold, 0) * FT_SECOND);
+}
+
+FtNode *
+ft_node_new (const FtConfig *config, GError **error)
+{
+  FtNode *node = g_new0 (FtNode, 1);
+  gint64 now = g_get_monotonic_time ();
+  node->config = config;
+  node->random = g_rand_new ();
+  node->incarnation = ((guint64) g_rand_int (node->random) << 30) ^ g_rand_int (node->random);
+  node->hold_us = hold_time (&config->core);
+  node->lease = ft_lease_new (config->member, node->incarnation, (gint64) (FT_LEASE_S * FT_SECOND),
+                              (gint64) (FT_SWEEP_S * FT_SECOND), node->hold_us, g_rand_int (node->random));
+  node->state = ft_state_new (config);
+  node->workers = ft_http_client_new (2, config->max_connections / 4);
+  node->mesh = ft_http_client_new (2, 16);
+  node->cloud = ft_http_client_new (4, 4);
+  ft_budget_init (&node->cloud_budget, config->core.cloud_rps * FT_CLOUD_SHARE, config->core.cloud_rps, now);
+  node->peers = g_array_new (FALSE, TRUE, sizeof (FtPeerView));
+  for (guint i = 0; i < config->peers->len; i++) {
+    FtPeerView view = { .peer = &g_array_index (config->peers, FtPeer, i) };
+    g_array_append_val (node->peers, view);
+  }
+  node->mesh_jobs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  node->finals = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_queue_init (&node->final_order);
+  guint most = (guint) (config->max_connections * FT_SOCKET_SHARE) - FT_CONNECTIONS_PER_HOST;
+  node->front = ft_http_server_new (config->listen, FT_BODY_CBOR, most, ft_front_handle, node, error);
+  if (node->front != NULL)
+    node->mesh_server = ft_http_server_new (config->mesh_listen, FT_BODY_JSON, most, ft_mesh_handle, node, error);
+  if (node->mesh_server == NULL) {
+    ft_node_free (node);
+    return NULL;
+  }
+  node->timer = g_timeout_add (FT_TICK_MS, on_tick, node);
+  on_tick (node);
+  g_message ("node %s: started, users and workers on %s, mesh on %s", config->member, config->listen,
+             config->mesh_listen);
+  return node;
+}
+
+void
+ft_node_free (FtNode *node)
+{
+  if (node == NULL)
+    return;
+  if (node->timer != 0)
+    g_source_remove (node->timer);
+  ft_http_server_free (node->front);
+  ft_http_server_free (node->mesh_server);
+  ft_leader_end (node);
+  ft_state_free (node->state);
+  ft_http_client_free (node->workers);
+  ft_http_client_free (node->mesh);
+  ft_http_client_free (node->cloud);
+  ft_lease_free (node->lease);
+  ft_catalog_unref (node->catalog);
+  g_array_unref (node->peers);
+  g_hash_table_unref (node->mesh_jobs);
+  g_hash_table_unref (node->finals);
+  g_queue_clear_full (&node->final_order, g_free);
+  g_free (node->mesh_leader);
+  g_rand_free (node->random);
+  g_free (node);
+}
--- /dev/null
+++ b/src/net/node.h
@@ -0,0 +1,80 @@
+/* A controller: its timers, leadership and clients, and the endpoints' common
+ * ground. One node per process. Private to src/net. */
+#pragma once
+#include "config.h"
+#include "core/lease.h"
+#include "core/scheduler.h"
+#include "net/budget.h"
+#include "net/http.h"
+#include "net/state_client.h"
+
+typedef struct _FtNode FtNode;
+
+/* What a peer said last. */
+typedef struct {
+  const FtPeer *peer; /* borrowed */
+  gint64 heard_at;
+  gboolean state_ok;
+  gboolean in_flight;
+} FtPeerView;
+
+struct _FtNode {
+  const FtConfig *config;
+  FtLease *lease;
+  FtState *state;
+  FtHttpClient *workers, *mesh, *cloud;
+  FtHttpServer *front, *mesh_server;
+  FtCatalog *catalog; /* NULL until known */
+  guint64 incarnation;
+  gint64 hold_us;
+  GRand *random;
+
+  /* leadership; `term` changes whenever it begins or ends, so that answers to
+   * requests of an earlier one are told apart */
+  FtScheduler *scheduler;
+  guint term;
+  guint64 journal_stamp, journal_batch;
+  gboolean sweep_in_flight, renew_in_flight, batch_in_flight, list_in_flight, catalog_in_flight, watch_in_flight;
+  guint directs, cloud_calls;
+  guint64 watch_since;
+  gint64 last_watch;
+  gint64 next_scheduler_tick, next_list, next_catalog, next_mesh, next_batch, next_watch;
+  gint64 led_since, last_report;
+  FtBudget cloud_budget;
+
+  GArray *peers;          /* FtPeerView */
+  char *mesh_leader;      /* as the mesh has it */
+  guint64 mesh_token;
+  GHashTable *mesh_jobs;  /* ref -> FtJobView of the leader's last summary */
+
+  GHashTable *finals;     /* ref -> final state (static text) */
+  GQueue final_order;
+  guint timer;
+};
+
+FtNode *ft_node_new (const FtConfig *config, GError **error);
+void ft_node_free (FtNode *node);
+
+/* Moves on whatever can move: placement, commands, commits, cloud calls. */
+void ft_node_pump (FtNode *node);
+/* We are leader no more. */
+void ft_node_step_down (FtNode *node, const char *why);
+gboolean ft_node_leads (const FtNode *node);
+
+/* leader.c: what a leader does with the store, the workers and the cloud. */
+void ft_leader_begin (FtNode *node, guint64 stamp);
+void ft_leader_end (FtNode *node);
+void ft_leader_pump (FtNode *node, gint64 now);
+void ft_leader_tick (FtNode *node, gint64 now);
+
+/* user_api.c, worker_endpoint.c */
+void ft_front_handle (FtHttpRequest *request, gpointer node);
+void ft_user_handle (FtNode *node, FtHttpRequest *request);
+void ft_worker_report (FtNode *node, FtHttpRequest *request);
+gboolean ft_node_ready (const FtNode *node, gint64 now);
+
+/* mesh.c */
+void ft_mesh_tick (FtNode *node, gint64 now);
+void ft_mesh_handle (FtHttpRequest *request, gpointer node);
+/* admin.c */
+void ft_admin_handle (FtNode *node, FtHttpRequest *request);
--- /dev/null
+++ b/src/wire/messages.c
@@ -0,0 +1,193 @@
+#include "wire/messages.h"
+
+#include <string.h>
+
+#include "core/constants.h"
+#include "wire/fields.h"
+
+/* Largest amount accepted, far above any machine or run time. */
+#define AMOUNT_MOST 1e9
+
+gboolean
+ft_ref_valid (const char *ref)
+{
+  gsize size = strlen (ref);
+  if (!g_str_has_prefix (ref, "req-") || size < 5 || size > FT_TEXT_MOST)
+    return FALSE;
+  for (const char *c = ref + 4; *c != '\0'; c++)
+    if (!g_ascii_isalnum (*c) && *c != '-' && *c != '_')
+      return FALSE;
+  return TRUE;
+}
+
+static gboolean
+read_priority (const json_t *body, FtPriority *priority)
+{
+  static const char *const names[] = { "best_effort", "normal", "high", "prod" };
+  const char *name = json_string_value (json_object_get (body, "urgency"));
+  for (guint i = 0; name != NULL && i < G_N_ELEMENTS (names); i++)
+    if (strcmp (name, names[i]) == 0) {
+      *priority = (FtPriority) i;
+      return TRUE;
+    }
+  return FALSE;
+}
+
+static gboolean
+read_texts (const json_t *body, FtJobSpec *spec)
+{
+  const char *shape = json_string_value (json_object_get (body, "shape"));
+  return ft_field_text (body, "ref", FT_TEXT_MOST, &spec->ref) && ft_ref_valid (spec->ref)
+         && ft_field_text (body, "lane", FT_TEXT_MOST, &spec->job_class)
+         && ft_field_text (body, "crew", FT_TEXT_MOST, &spec->team) && g_strcmp0 (shape, "array") == 0
+         && read_priority (body, &spec->priority) && ft_field_text (body, "bundle", FT_TEXT_MOST, &spec->image)
+         && ft_field_text_or_null (body, "yard", FT_TEXT_MOST, &spec->zone)
+         && (ft_field_is_null (body, "builds") || ft_field_texts (body, "builds", FT_TEXT_MOST, &spec->types));
+}
+
+static gboolean
+read_amounts (const json_t *body, FtJobSpec *spec)
+{
+  return ft_field_amount (body, "cores", 0, AMOUNT_MOST, &spec->cpus)
+         && ft_field_amount (body, "cards", 0, AMOUNT_MOST, &spec->gpus)
+         && ft_field_amount (body, "mem_gb", 0, AMOUNT_MOST, &spec->memory_gb)
+         && ft_field_amount (body, "pull_gb", 0, AMOUNT_MOST, &spec->image_gb)
+         && ft_field_amount (body, "guess_s", 0, AMOUNT_MOST, &spec->estimate_s)
+         && ft_field_amount (body, "bookmark_s", 0, AMOUNT_MOST, &spec->checkpoint_s)
+         && ft_field_amount (body, "shelve_s", 0, AMOUNT_MOST, &spec->save_s)
+         && (ft_field_is_null (body, "due_s") || ft_field_amount (body, "due_s", 0, AMOUNT_MOST, &spec->deadline_s));
+}
+
+FtJobSpec *
+ft_message_job (const json_t *body)
+{
+  g_autoptr (FtJobSpec) spec = g_new0 (FtJobSpec, 1);
+  guint64 tasks = 0;
+  if (!json_is_object (body) || !read_texts (body, spec) || !read_amounts (body, spec)
+      || !ft_field_count (body, "pieces", 1, FT_JOB_TASKS_MOST, &tasks)
+      || !ft_field_bool (body, "one_zone", &spec->one_zone) || !ft_field_bool (body, "apart", &spec->spread)
+      || !ft_field_bool (body, "loaners", &spec->spot))
+    return NULL;
+  spec->tasks = (guint) tasks;
+  return g_steal_pointer (&spec);
+}
+
+json_t *
+ft_message_job_state (const char *ref, const char *state, guint done, guint running, gboolean counts)
+{
+  const char *standing = strcmp (state, "cancelled") == 0 ? "withdrawn" : state;
+  if (!counts)
+    return json_pack ("{s:s, s:s}", "ref", ref, "standing", standing);
+  return json_pack ("{s:s, s:s, s:i, s:i}", "ref", ref, "standing", standing, "done", (int) done, "running",
+                    (int) running);
+}
+
+/* "req-000412/3" */
+static gboolean
+read_task_name (const json_t *item, FtReportedTask *task)
+{
+  const char *name = json_string_value (json_object_get (item, "piece"));
+  const char *slash = name != NULL ? strrchr (name, '/') : NULL;
+  guint64 index;
+  if (slash == NULL || !g_ascii_string_to_unsigned (slash + 1, 10, 0, FT_JOB_TASKS_MOST, &index, NULL))
+    return FALSE;
+  g_autofree char *job = g_strndup (name, (gsize) (slash - name));
+  if (!ft_ref_valid (job))
+    return FALSE;
+  task->job = g_steal_pointer (&job);
+  task->index = (guint) index;
+  return TRUE;
+}
+
+static gboolean
+read_task_state (const json_t *item, FtReportedTask *task)
+{
+  static const char *const states[] = { "fetching", "running", "flushing", "exited" };
+  static const char *const causes[] = { "", "done", "halted", "error", "no_room", "in_use", "no_such" };
+  const char *state = json_string_value (json_object_get (item, "standing"));
+  const char *cause = json_string_value (json_object_get (item, "cause"));
+  guint i;
+  for (i = 0; i < G_N_ELEMENTS (states) && g_strcmp0 (state, states[i]) != 0; i++)
+    ;
+  if (i == G_N_ELEMENTS (states))
+    return FALSE;
+  task->state = (FtReportedState) i;
+  if (task->state != FT_REPORTED_EXITED)
+    return TRUE;
+  /* A cause we do not know is a failure like any other. */
+  task->why = FT_WHY_ERROR;
+  for (i = 1; i < G_N_ELEMENTS (causes); i++)
+    if (g_strcmp0 (cause, causes[i]) == 0)
+      task->why = (FtWhy) i;
+  return TRUE;
+}
+
+static gboolean
+read_tasks (const json_t *list, GArray *tasks)
+{
+  if (!json_is_array (list))
+    return FALSE;
+  for (size_t i = 0; i < json_array_size (list); i++) {
+    const json_t *item = json_array_get (list, i);
+    FtReportedTask task = { 0 };
+    if (!read_task_name (item, &task))
+      return FALSE;
+    g_array_append_val (tasks, task);
+    FtReportedTask *kept = &g_array_index (tasks, FtReportedTask, tasks->len - 1);
+    if (!read_task_state (item, kept) || !ft_field_count (item, "try", 0, G_MAXINT64, &kept->attempt))
+      return FALSE;
+  }
+  return TRUE;
+}
+
+FtReport *
+ft_message_report (const json_t *body)
+{
+  g_autoptr (FtReport) r = ft_report_new ();
+  if (!ft_field_text (body, "hearth", FT_TEXT_MOST, &r->machine)
+      || !ft_field_text (body, "address", FT_TEXT_MOST, &r->addr)
+      || !ft_field_text (body, "build", FT_TEXT_MOST, &r->type) || !ft_field_text (body, "yard", FT_TEXT_MOST, &r->zone)
+      || !ft_field_bool (body, "loaners", &r->spot) || !ft_field_count (body, "shift", 0, G_MAXINT64, &r->session)
+      || !ft_field_count (body, "tally", 0, G_MAXINT64, &r->sequence)
+      || !ft_field_count (body, "baton", 0, G_MAXINT64, &r->token)
+      || !read_tasks (json_object_get (body, "pieces"), r->tasks))
+    return NULL;
+  if (!ft_field_is_null (body, "recall_s") && !ft_field_amount (body, "recall_s", 0, AMOUNT_MOST, &r->notice_s))
+    return NULL;
+  return g_steal_pointer (&r);
+}
+
+static json_t *
+command_list (const GArray *commands)
+{
+  static const char *const verbs[] = { "start", "stop", "clear" };
+  json_t *list = json_array ();
+  for (guint i = 0; commands != NULL && i < commands->len; i++) {
+    const FtCommand *c = &g_array_index (commands, FtCommand, i);
+    g_autofree char *task = g_strdup_printf ("%s/%u", c->job, c->index);
+    json_t *item = json_pack ("{s:s, s:s, s:I}", "verb", verbs[c->op], "piece", task, "try", (json_int_t) c->attempt);
+    if (c->op == FT_COMMAND_STOP)
+      json_object_set_new (item, "leeway_s", json_real (c->grace_s));
+    json_array_append_new (list, item);
+  }
+  return list;
+}
+
+json_t *
+ft_message_answer (guint64 token, const GArray *commands)
+{
+  return json_pack ("{s:I, s:o}", "baton", (json_int_t) token, "orders", command_list (commands));
+}
+
+json_t *
+ft_message_redirect (const char *leader)
+{
+  return leader != NULL ? json_pack ("{s:s}", "answers_to", leader) : json_object ();
+}
+
+json_t *
+ft_message_commands (guint64 token, guint64 session, const GArray *commands)
+{
+  return json_pack ("{s:I, s:I, s:o}", "baton", (json_int_t) token, "shift", (json_int_t) session, "orders",
+                    command_list (commands));
+}
--- /dev/null
+++ b/src/wire/messages.h
@@ -0,0 +1,17 @@
+/* Messages of users and workers, to and from core types. The wire's own names
+ * stop here. Decoders return NULL for anything that is not valid. */
+#pragma once
+#include <jansson.h>
+
+#include "core/types.h"
+
+gboolean ft_ref_valid (const char *ref);
+
+FtJobSpec *ft_message_job (const json_t *body);
+/* `state` is a core name: queued, running, done or cancelled. */
+json_t *ft_message_job_state (const char *ref, const char *state, guint done, guint running, gboolean counts);
+
+FtReport *ft_message_report (const json_t *body);
+json_t *ft_message_answer (guint64 token, const GArray *commands);
+json_t *ft_message_redirect (const char *leader);
+json_t *ft_message_commands (guint64 token, guint64 session, const GArray *commands);
--- /dev/null
+++ b/src/wire/store.c
@@ -0,0 +1,359 @@
+#include "wire/store.h"
+
+#include <string.h>
+
+#include "core/constants.h"
+#include "wire/fields.h"
+
+/* ---- the service's messages ---- */
+
+json_t *
+ft_txn_new (void)
+{
+  return json_pack ("{s:[], s:[]}", "if", "apply");
+}
+
+void
+ft_txn_if (json_t *txn, const char *key, guint64 stamp)
+{
+  json_array_append_new (json_object_get (txn, "if"),
+                         json_pack ("{s:s, s:I}", "key", key, "stamp", (json_int_t) stamp));
+}
+
+void
+ft_txn_put (json_t *txn, const char *key, json_t *value)
+{
+  json_array_append_new (json_object_get (txn, "apply"), json_pack ("{s:s, s:o}", "write", key, "data", value));
+}
+
+void
+ft_txn_delete (json_t *txn, const char *key)
+{
+  json_array_append_new (json_object_get (txn, "apply"), json_pack ("{s:s}", "delete", key));
+}
+
+gboolean
+ft_store_revision (const json_t *body, guint64 *revision)
+{
+  return ft_field_count (body, "ledger", 0, G_MAXINT64, revision);
+}
+
+gboolean
+ft_store_failed (const json_t *body, const char *key)
+{
+  const json_t *failed = json_object_get (body, "failed");
+  for (size_t i = 0; i < json_array_size (failed); i++)
+    if (g_strcmp0 (json_string_value (json_array_get (failed, i)), key) == 0)
+      return TRUE;
+  return FALSE;
+}
+
+static gboolean
+read_row (json_t *item, const char *key_name, FtRow *row)
+{
+  row->key = json_string_value (json_object_get (item, key_name));
+  row->value = json_object_get (item, "data");
+  return row->key != NULL && ft_field_count (item, "stamp", 0, G_MAXINT64, &row->stamp);
+}
+
+gboolean
+ft_store_row (const json_t *body, FtRow *row)
+{
+  return read_row ((json_t *) body, "key", row) && row->value != NULL;
+}
+
+GArray *
+ft_store_rows (const json_t *body, gboolean *more)
+{
+  const json_t *list = json_object_get (body, "pairs");
+  if (!json_is_array (list))
+    return NULL;
+  g_autoptr (GArray) rows = g_array_new (FALSE, TRUE, sizeof (FtRow));
+  for (size_t i = 0; i < json_array_size (list); i++) {
+    FtRow row = { 0 };
+    if (!read_row (json_array_get (list, i), "key", &row) || row.value == NULL)
+      return NULL;
+    g_array_append_val (rows, row);
+  }
+  *more = json_is_true (json_object_get (body, "more"));
+  return g_steal_pointer (&rows);
+}
+
+GArray *
+ft_store_events (const json_t *body)
+{
+  const json_t *list = json_object_get (body, "events");
+  if (list != NULL && !json_is_array (list))
+    return NULL;
+  g_autoptr (GArray) rows = g_array_new (FALSE, TRUE, sizeof (FtRow));
+  for (size_t i = 0; i < json_array_size (list); i++) {
+    json_t *item = json_array_get (list, i);
+    FtRow row = { 0 };
+    gboolean put = json_object_get (item, "write") != NULL;
+    if (!read_row (item, put ? "write" : "delete", &row) || put != (row.value != NULL))
+      return NULL;
+    g_array_append_val (rows, row);
+  }
+  return g_steal_pointer (&rows);
+}
+
+/* ---- keys ---- */
+
+char *
+ft_key_job (const char *ref)
+{
+  return g_strconcat ("j/", ref, NULL);
+}
+
+char *
+ft_key_open (const char *ref)
+{
+  return g_strconcat (FT_PREFIX_OPEN, ref, NULL);
+}
+
+char *
+ft_key_withdrawn (const char *ref)
+{
+  return g_strconcat (FT_PREFIX_OPEN, ref, "/w", NULL);
+}
+
+static char *
+key_chunk (const char *ref, guint chunk)
+{
+  return g_strdup_printf (FT_PREFIX_DONE "%s/%u", ref, chunk);
+}
+
+static char *
+key_machine (const char *name)
+{
+  return g_strconcat (FT_PREFIX_ROSTER, name, NULL);
+}
+
+char *
+ft_key_open_ref (const char *key, gboolean *withdrawn)
+{
+  if (!g_str_has_prefix (key, FT_PREFIX_OPEN))
+    return NULL;
+  *withdrawn = g_str_has_suffix (key, "/w");
+  gsize skip = strlen (FT_PREFIX_OPEN);
+  return g_strndup (key + skip, strlen (key) - skip - (*withdrawn ? 2 : 0));
+}
+
+gboolean
+ft_key_chunk_parse (const char *key, char **ref, guint *chunk)
+{
+  const char *slash = strrchr (key, '/');
+  guint64 number;
+  if (!g_str_has_prefix (key, FT_PREFIX_DONE) || slash == key + 1
+      || !g_ascii_string_to_unsigned (slash + 1, 10, 0, FT_JOB_TASKS_MOST, &number, NULL))
+    return FALSE;
+  *ref = g_strndup (key + 2, (gsize) (slash - key - 2));
+  *chunk = (guint) number;
+  return TRUE;
+}
+
+/* ---- rows ---- */
+
+json_t *
+ft_row_fence (guint64 token, const char *holder, guint64 incarnation)
+{
+  return json_pack ("{s:I, s:s, s:I}", "token", (json_int_t) token, "holder", holder, "incarnation",
+                    (json_int_t) incarnation);
+}
+
+json_t *
+ft_row_renewal (guint64 token, gboolean released)
+{
+  return json_pack ("{s:I, s:b}", "token", (json_int_t) token, "released", released);
+}
+
+json_t *
+ft_row_journal (guint64 token, guint64 batch)
+{
+  return json_pack ("{s:I, s:I}", "token", (json_int_t) token, "batch", (json_int_t) batch);
+}
+
+gboolean
+ft_row_lease_parse (const GArray *rows, FtLeaseRows *out)
+{
+  for (guint i = 0; i < rows->len; i++) {
+    const FtRow *row = &g_array_index (rows, FtRow, i);
+    if (strcmp (row->key, FT_KEY_FENCE) == 0) {
+      out->fence_stamp = row->stamp;
+      if (!ft_field_count (row->value, "token", 0, G_MAXINT32, &out->token)
+          || !ft_field_count (row->value, "incarnation", 0, G_MAXINT64, &out->incarnation)
+          || !ft_field_text (row->value, "holder", FT_TEXT_MOST, &out->holder))
+        return FALSE;
+    } else if (strcmp (row->key, FT_KEY_RENEWAL) == 0) {
+      out->renewal_stamp = row->stamp;
+      out->released = json_is_true (json_object_get (row->value, "released"));
+    }
+  }
+  return TRUE;
+}
+
+json_t *
+ft_row_job (const char *state, guint tasks)
+{
+  return json_pack ("{s:s, s:i}", "state", state, "tasks", (int) tasks);
+}
+
+const char *
+ft_row_job_state (const json_t *value, guint *tasks)
+{
+  static const char *const states[] = { "open", "done", "cancelled" };
+  const char *state = json_string_value (json_object_get (value, "state"));
+  *tasks = (guint) json_integer_value (json_object_get (value, "tasks"));
+  for (guint i = 0; i < G_N_ELEMENTS (states); i++)
+    if (g_strcmp0 (state, states[i]) == 0)
+      return states[i];
+  return NULL;
+}
+
+static json_t *
+text_list (GStrv texts)
+{
+  if (texts == NULL)
+    return json_null ();
+  json_t *list = json_array ();
+  for (guint i = 0; texts[i] != NULL; i++)
+    json_array_append_new (list, json_string (texts[i]));
+  return list;
+}
+
+json_t *
+ft_row_open (const FtJobSpec *spec)
+{
+  return json_pack (
+      "{s:s, s:s, s:i, s:i, s:f, s:f, s:f, s:s, s:f, s:o, s:s?, s:b, s:b, s:b, s:f, s:f, s:f, s:f, s:I}", "class",
+      spec->job_class, "team", spec->team, "priority", (int) spec->priority, "tasks", (int) spec->tasks, "cpus",
+      spec->cpus, "gpus", spec->gpus, "memory_gb", spec->memory_gb, "image", spec->image, "image_gb", spec->image_gb,
+      "types", text_list (spec->types), "zone", spec->zone, "one_zone", spec->one_zone, "spread", spec->spread, "spot",
+      spec->spot, "estimate_s", spec->estimate_s, "checkpoint_s", spec->checkpoint_s, "save_s", spec->save_s,
+      "deadline_s", spec->deadline_s, "submitted_ms", (json_int_t) spec->submitted_wall_ms);
+}
+
+static gboolean
+read_open_amounts (const json_t *v, FtJobSpec *spec)
+{
+  struct {
+    const char *name;
+    double *target;
+  } amounts[] = { { "cpus", &spec->cpus },
+                  { "gpus", &spec->gpus },
+                  { "memory_gb", &spec->memory_gb },
+                  { "image_gb", &spec->image_gb },
+                  { "estimate_s", &spec->estimate_s },
+                  { "checkpoint_s", &spec->checkpoint_s },
+                  { "save_s", &spec->save_s },
+                  { "deadline_s", &spec->deadline_s } };
+  for (guint i = 0; i < G_N_ELEMENTS (amounts); i++)
+    if (!ft_field_amount (v, amounts[i].name, 0, G_MAXDOUBLE, amounts[i].target))
+      return FALSE;
+  return TRUE;
+}
+
+FtJobSpec *
+ft_row_open_parse (const char *ref, const json_t *v)
+{
+  g_autoptr (FtJobSpec) spec = g_new0 (FtJobSpec, 1);
+  guint64 priority, tasks, submitted;
+  spec->ref = g_strdup (ref);
+  if (!ft_field_text (v, "class", FT_TEXT_MOST, &spec->job_class) || !ft_field_text (v, "team", FT_TEXT_MOST, &spec->team)
+      || !ft_field_count (v, "priority", 0, FT_PRIORITY_PRODUCTION, &priority)
+      || !ft_field_count (v, "tasks", 1, FT_JOB_TASKS_MOST, &tasks) || !read_open_amounts (v, spec)
+      || !ft_field_text (v, "image", FT_TEXT_MOST, &spec->image)
+      || !(ft_field_is_null (v, "types") || ft_field_texts (v, "types", FT_TEXT_MOST, &spec->types))
+      || !ft_field_text_or_null (v, "zone", FT_TEXT_MOST, &spec->zone)
+      || !ft_field_bool (v, "one_zone", &spec->one_zone) || !ft_field_bool (v, "spread", &spec->spread)
+      || !ft_field_bool (v, "spot", &spec->spot) || !ft_field_count (v, "submitted_ms", 0, G_MAXINT64, &submitted))
+    return NULL;
+  spec->priority = (FtPriority) priority;
+  spec->tasks = (guint) tasks;
+  spec->submitted_wall_ms = (gint64) submitted;
+  return g_steal_pointer (&spec);
+}
+
+const char *
+ft_row_chunk_bits (const json_t *value)
+{
+  return json_string_value (json_object_get (value, "bits"));
+}
+
+gboolean
+ft_row_machine_parse (FtScheduler *s, const FtRow *row)
+{
+  g_autofree char *addr = NULL, *type = NULL, *zone = NULL;
+  gboolean spot;
+  if (!g_str_has_prefix (row->key, FT_PREFIX_ROSTER) || !ft_field_text (row->value, "addr", FT_TEXT_MOST, &addr)
+      || !ft_field_text (row->value, "type", FT_TEXT_MOST, &type)
+      || !ft_field_text (row->value, "zone", FT_TEXT_MOST, &zone) || !ft_field_bool (row->value, "spot", &spot))
+    return FALSE;
+  ft_scheduler_load_machine (s, row->key + strlen (FT_PREFIX_ROSTER), addr, type, zone, spot);
+  return TRUE;
+}
+
+/* ---- a leader's batch ---- */
+
+static void
+add_job_done (json_t *txn, const FtWrite *w)
+{
+  g_autofree char *job = ft_key_job (w->name), *open = ft_key_open (w->name), *chunk = key_chunk (w->name, 0);
+  ft_txn_if (txn, job, w->stamp);
+  ft_txn_put (txn, job, ft_row_job ("done", w->tasks));
+  ft_txn_delete (txn, open);
+  if (w->chunk > 0)
+    ft_txn_delete (txn, chunk);
+}
+
+static void
+add_job_gone (json_t *txn, const FtWrite *w)
+{
+  g_autofree char *open = ft_key_open (w->name), *mark = ft_key_withdrawn (w->name), *chunk = key_chunk (w->name, 0);
+  ft_txn_delete (txn, open);
+  ft_txn_delete (txn, mark);
+  ft_txn_delete (txn, chunk);
+}
+
+void
+ft_txn_add_write (json_t *txn, const FtWrite *w)
+{
+  g_autofree char *key = NULL;
+  switch (w->kind) {
+  case FT_WRITE_ROSTER_ADD:
+    key = key_machine (w->name);
+    ft_txn_put (txn, key,
+                json_pack ("{s:s, s:s, s:s, s:b}", "addr", w->addr, "type", w->type, "zone", w->zone, "spot", w->spot));
+    break;
+  case FT_WRITE_ROSTER_DROP:
+    key = key_machine (w->name);
+    ft_txn_delete (txn, key);
+    break;
+  case FT_WRITE_CHUNK:
+    key = key_chunk (w->name, w->chunk);
+    ft_txn_put (txn, key, json_pack ("{s:s}", "bits", w->bits));
+    break;
+  case FT_WRITE_CHUNK_DROP:
+    key = key_chunk (w->name, w->chunk);
+    ft_txn_delete (txn, key);
+    break;
+  case FT_WRITE_JOB_DONE:
+    add_job_done (txn, w);
+    break;
+  case FT_WRITE_JOB_GONE:
+    add_job_gone (txn, w);
+    break;
+  }
+}
+
+const char *
+ft_store_conflicted_job (const json_t *body, const GPtrArray *writes)
+{
+  for (guint i = 0; i < writes->len; i++) {
+    const FtWrite *w = g_ptr_array_index (writes, i);
+    g_autofree char *key = ft_key_job (w->name);
+    if (w->kind == FT_WRITE_JOB_DONE && ft_store_failed (body, key))
+      return w->name;
+  }
+  return NULL;
+}
--- /dev/null
+++ b/src/wire/store.h
@@ -0,0 +1,71 @@
+/* The state service's messages, and flintrack's rows in it.
+ *
+ *   l/fence          token, holder, incarnation; changes at acquisitions only
+ *   l/renewal        changed by every renewal; tells of a release
+ *   l/journal        number of the leader's last batch; every batch is
+ *                    conditional on it, so that none can be applied late
+ *   j/REF            a job's state: open, done, cancelled; kept for ever
+ *   o/REF            an open job as submitted; o/REF/w once it is withdrawn
+ *   d/REF/CHUNK      a chunk of an open job's done-set
+ *   m/NAME           a machine that may have been sent commands
+ */
+#pragma once
+#include <jansson.h>
+
+#include "core/lease.h"
+#include "core/scheduler.h"
+
+#define FT_KEY_FENCE "l/fence"
+#define FT_KEY_RENEWAL "l/renewal"
+#define FT_KEY_JOURNAL "l/journal"
+#define FT_PREFIX_LEASE "l/"
+#define FT_PREFIX_OPEN "o/"
+#define FT_PREFIX_DONE "d/"
+#define FT_PREFIX_ROSTER "m/"
+
+/* A transaction being built; json_decref() frees it. */
+json_t *ft_txn_new (void);
+void ft_txn_if (json_t *txn, const char *key, guint64 stamp);
+/* Takes the value. */
+void ft_txn_put (json_t *txn, const char *key, json_t *value);
+void ft_txn_delete (json_t *txn, const char *key);
+
+/* Answers. */
+gboolean ft_store_revision (const json_t *body, guint64 *revision);
+gboolean ft_store_failed (const json_t *body, const char *key);
+
+/* A row as read; the value is borrowed from the message. */
+typedef struct {
+  const char *key;
+  json_t *value; /* NULL: deleted */
+  guint64 stamp;
+} FtRow;
+gboolean ft_store_row (const json_t *body, FtRow *row);
+/* Rows of a list or events of a watch, as a new array of FtRow; NULL if malformed. */
+GArray *ft_store_rows (const json_t *body, gboolean *more);
+GArray *ft_store_events (const json_t *body);
+
+/* Rows of flintrack. */
+char *ft_key_job (const char *ref);
+char *ft_key_open (const char *ref);
+char *ft_key_withdrawn (const char *ref);
+/* The ref of an index row, new; NULL if it is none. */
+char *ft_key_open_ref (const char *key, gboolean *withdrawn);
+gboolean ft_key_chunk_parse (const char *key, char **ref, guint *chunk);
+
+json_t *ft_row_fence (guint64 token, const char *holder, guint64 incarnation);
+json_t *ft_row_renewal (guint64 token, gboolean released);
+json_t *ft_row_journal (guint64 token, guint64 batch);
+gboolean ft_row_lease_parse (const GArray *rows, FtLeaseRows *out);
+json_t *ft_row_job (const char *state, guint tasks);
+/* "open", "done", "cancelled" or NULL; static. */
+const char *ft_row_job_state (const json_t *value, guint *tasks);
+json_t *ft_row_open (const FtJobSpec *spec);
+FtJobSpec *ft_row_open_parse (const char *ref, const json_t *value);
+const char *ft_row_chunk_bits (const json_t *value);
+gboolean ft_row_machine_parse (FtScheduler *s, const FtRow *row);
+
+/* Adds the writes of a leader's batch. */
+void ft_txn_add_write (json_t *txn, const FtWrite *write);
+/* The job among the writes whose row is named as failed; borrowed, or NULL. */
+const char *ft_store_conflicted_job (const json_t *body, const GPtrArray *writes);
