--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -23,8 +23,9 @@
   *why = "unknown team";
   if (team == NULL)
     return FT_ADMIT_NEVER;
-  *why = "a task needs more than the team's limit";
-  if (spec->cpus > team->cpus_max + EPSILON || spec->gpus > team->gpus_max + EPSILON)
+  *why = "it needs more than the team's limit";
+  guint together = spec->kind == FT_KIND_ARRAY ? 1 : spec->tasks;
+  if (spec->cpus * together > team->cpus_max + EPSILON || spec->gpus * together > team->gpus_max + EPSILON)
     return FT_ADMIT_NEVER;
   *why = "the machine types are not known yet";
   if (catalog == NULL)
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -60,6 +60,8 @@
 #define FT_RETRY_LONGEST_S 30.0
 /* Seconds after its pause during which a failed task keeps off that machine. */
 #define FT_AVOID_S 10.0
+/* Seconds a task that was stopped for another leaves its room to that one. */
+#define FT_PREEMPTED_PAUSE_S 2.0
 /* Most tasks placed in one pass, so that a pass stays short. */
 #define FT_PASS_TASKS 256
 
--- a/src/core/machine.c
+++ b/src/core/machine.c
@@ -9,6 +9,29 @@
   g_free (attempt);
 }
 
+/* The tasks of a gang start under one attempt number, several of them perhaps
+ * on one machine: an attempt is known by its number and its task. */
+static guint
+attempt_hash (gconstpointer key)
+{
+  const FtAttempt *a = key;
+  return (guint) a->id * 31u + a->index;
+}
+
+static gboolean
+attempt_equal (gconstpointer x, gconstpointer y)
+{
+  const FtAttempt *a = x, *b = y;
+  return a->id == b->id && a->index == b->index && g_strcmp0 (a->job_ref, b->job_ref) == 0;
+}
+
+FtAttempt *
+ft_machine_attempt (const FtMachine *machine, const char *ref, guint index, guint64 id)
+{
+  const FtAttempt key = { .id = id, .index = index, .job_ref = (char *) ref };
+  return g_hash_table_lookup (machine->attempts, &key);
+}
+
 FtMachine *
 ft_machine_new (FtScheduler *s, const char *name, const char *addr, const char *type, const char *zone, gboolean spot)
 {
@@ -20,7 +43,7 @@
   machine->spot = spot;
   machine->type = ft_catalog_find (s->catalog, type);
   machine->rented_at = machine->idle_since = s->now;
-  machine->attempts = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, (GDestroyNotify) attempt_free);
+  machine->attempts = g_hash_table_new_full (attempt_hash, attempt_equal, NULL, (GDestroyNotify) attempt_free);
   machine->images = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return machine;
 }
@@ -130,7 +153,7 @@
     a->gpus = job->spec->gpus;
     a->memory_gb = job->spec->memory_gb;
   }
-  g_hash_table_insert (machine->attempts, &a->id, a);
+  g_hash_table_insert (machine->attempts, a, a);
   return a;
 }
 
@@ -207,7 +230,7 @@
   if (ft_machine_idle (machine))
     machine->idle_since = s->now;
   if (!(attempt->exited && attempt->listed))
-    g_hash_table_remove (machine->attempts, &attempt->id);
+    g_hash_table_remove (machine->attempts, attempt);
 }
 
 /* Everything that ran in the sessions so far is over. */
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -88,7 +88,7 @@
   guint failing_jobs;
   FtJob *last_failed;     /* compared only */
   double cpus, gpus, memory_gb; /* taken by attempts not known to be over */
-  GHashTable *attempts;   /* attempt number -> FtAttempt, owned */
+  GHashTable *attempts;   /* set of FtAttempt, owned */
   GHashTable *images;     /* names known to be cached */
 };
 
@@ -103,13 +103,13 @@
   gboolean holds;    /* counted in the machine's and the team's use */
   FtTeam *team;
   double cpus, gpus, memory_gb;
-  gboolean shown, listed, exited, running;
+  gboolean shown, listed, exited, running, has_image;
   gboolean stop_wanted, stop_sent, forget_ok;
   double grace_s;
   guint64 sent_sequence;      /* report whose answer carried the start; 0: none */
   gboolean direct_in_flight;  /* a direct start is on its way */
   gboolean direct_unanswered; /* a direct start may still be executed, late */
-  gint64 placed_at, running_at;
+  gint64 placed_at, running_at, placed_pass;
 };
 
 typedef struct _FtScheduler FtScheduler;
@@ -162,6 +162,7 @@
 guint ft_machine_room (const FtMachine *machine, const FtJobSpec *spec);
 gboolean ft_machine_idle (const FtMachine *machine);
 gboolean ft_machine_allowed (const FtMachine *machine, const FtJobSpec *spec);
+FtAttempt *ft_machine_attempt (const FtMachine *machine, const char *ref, guint index, guint64 id);
 FtAttempt *ft_attempt_new (FtMachine *machine, FtJob *job, const char *ref, guint index, guint64 id);
 void ft_attempt_hold (FtAttempt *attempt);
 void ft_attempt_release (FtAttempt *attempt);
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -136,20 +136,60 @@
   return best;
 }
 
+/* Attempt numbers rise with the token, so across leaders. */
+static guint64
+next_attempt (FtScheduler *s)
+{
+  return (s->token << FT_ATTEMPT_BITS) + s->next_attempt++;
+}
+
 static void
-place (FtScheduler *s, FtJob *job, guint index, FtMachine *machine)
+place (FtScheduler *s, FtJob *job, guint index, FtMachine *machine, guint64 id)
 {
-  guint64 id = (s->token << FT_ATTEMPT_BITS) + s->next_attempt++;
   FtAttempt *a = ft_attempt_new (machine, job, job->spec->ref, index, id);
   ft_attempt_hold (a);
   ft_attempt_bind (a, FT_TASK_STARTING);
   a->placed_at = s->now;
+  a->placed_pass = s->pass;
   g_message ("task %s/%u: placed on %s attempt %" G_GUINT64_FORMAT, job->spec->ref, index, machine->name, id);
 }
 
+/* What is left of a gang that has lost a task can only end: it is stopped, and
+ * the gang starts again whole. */
+static gboolean
+gang_ready (FtScheduler *s, FtJob *job)
+{
+  guint unfinished = job->spec->tasks - ft_job_finished (job);
+  if (job->counts[FT_TASK_QUEUED] == unfinished)
+    return ft_quota_count (s, job->team, job->spec) >= unfinished;
+  if (job->counts[FT_TASK_UNKNOWN] > 0 || job->spec->kind == FT_KIND_SERVICE)
+    return FALSE;
+  for (guint i = 0; i < job->spec->tasks; i++) {
+    FtAttempt *a = job->tasks[i].attempt;
+    if (a != NULL && !a->exited)
+      ft_attempt_want_stop (a, job->spec->checkpoint_s > 0 ? job->spec->save_s : 0);
+  }
+  return FALSE;
+}
+
+/* Takes back what this pass placed of a gang that did not fit whole; none of
+ * it has left the process. */
+static void
+take_back (FtScheduler *s, FtJob *job)
+{
+  for (guint i = 0; i < job->spec->tasks; i++) {
+    FtAttempt *a = job->tasks[i].attempt;
+    if (a != NULL && a->placed_pass == s->pass)
+      ft_attempt_over (s, a);
+  }
+}
+
 static guint
 place_job (FtScheduler *s, FtJob *job, GPtrArray *machines)
 {
+  gboolean whole = job->spec->kind == FT_KIND_GANG;
+  if (whole && !gang_ready (s, job))
+    return 0;
   Whereabouts w;
   guint placed = 0;
   gboolean zoned = job->spec->one_zone || job->spec->spread;
@@ -157,7 +197,8 @@
   if (zoned && job->counts[FT_TASK_UNKNOWN] > 0)
     return 0;
   find_whereabouts (job, &w);
-  while (placed < FT_PASS_TASKS && ft_quota_allows (s, job->team, job->spec)) {
+  guint64 id = next_attempt (s);
+  while ((placed < FT_PASS_TASKS || whole) && ft_quota_allows (s, job->team, job->spec)) {
     guint index = next_queued (job, s->now);
     if (index >= job->spec->tasks)
       break;
@@ -166,14 +207,21 @@
       job->pass_blocked = s->pass;
       break;
     }
-    place (s, job, index, machine);
+    place (s, job, index, machine, id);
     placed++;
+    /* The tasks of a gang come together under one attempt number. */
+    if (!whole)
+      id = next_attempt (s);
     if (zoned) {
       g_hash_table_unref (w.zone_count);
       find_whereabouts (job, &w);
     }
   }
   g_hash_table_unref (w.zone_count);
+  if (whole && job->counts[FT_TASK_QUEUED] > 0) {
+    take_back (s, job);
+    return 0;
+  }
   return placed;
 }
 
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -260,7 +260,11 @@
     return;
   }
   if (a->bound) {
-    if (why != FT_WHY_STOPPED && a->job->state == FT_JOB_OPEN)
+    /* Its room is somebody else's for the moment: it does not take it back at once. */
+    if (why == FT_WHY_STOPPED && a->stop_wanted && machine->notice_until == 0)
+      a->job->tasks[a->index].not_before = s->now + (gint64) (FT_PREEMPTED_PAUSE_S * FT_SECOND);
+    gboolean blameless = why == FT_WHY_STOPPED || why == FT_WHY_PEERS || why == FT_WHY_ALONE;
+    if (!blameless && a->job->state == FT_JOB_OPEN)
       task_failed (s, a, why);
     g_message ("task %s/%u: attempt ended on %s (why %d)", a->job_ref, a->index, machine->name, why);
   }
@@ -271,14 +275,17 @@
 static void
 attempt_progress (FtScheduler *s, FtAttempt *a, FtReportedState state)
 {
-  static const FtTaskState states[] = { FT_TASK_FETCHING, FT_TASK_RUNNING, FT_TASK_SAVING };
+  static const FtTaskState states[] = { FT_TASK_FETCHING, FT_TASK_FETCHING, FT_TASK_RUNNING, FT_TASK_SAVING };
   a->shown = TRUE;
-  if (state != FT_REPORTED_FETCHING && !a->running) {
-    a->running = TRUE;
-    a->running_at = s->now;
+  if (state != FT_REPORTED_FETCHING && !a->has_image) {
+    a->has_image = TRUE;
     if (a->job != NULL)
       g_hash_table_add (a->machine->images, g_strdup (a->job->spec->image));
   }
+  if (state != FT_REPORTED_FETCHING && state != FT_REPORTED_WAITING && !a->running) {
+    a->running = TRUE;
+    a->running_at = s->now;
+  }
   if (a->bound)
     ft_task_set_state (a->job, a->index, states[state]);
 }
@@ -323,7 +330,7 @@
 static void
 apply_task (FtScheduler *s, FtMachine *machine, const FtReportedTask *t)
 {
-  FtAttempt *a = g_hash_table_lookup (machine->attempts, &t->attempt);
+  FtAttempt *a = ft_machine_attempt (machine, t->job, t->index, t->attempt);
   if (a == NULL) {
     adopt (s, machine, t);
     return;
@@ -346,7 +353,7 @@
   if (a->exited) {
     if (a->bound)
       return; /* its result is not committed yet */
-    g_hash_table_remove (a->machine->attempts, &a->id);
+    g_hash_table_remove (a->machine->attempts, a);
     return;
   }
   if (a->shown) {
@@ -603,7 +610,7 @@
 {
   for (guint i = 0; i < direct->commands->len; i++) {
     const FtCommand *c = &g_array_index (direct->commands, FtCommand, i);
-    FtAttempt *a = g_hash_table_lookup (machine->attempts, &c->attempt);
+    FtAttempt *a = ft_machine_attempt (machine, c->job, c->index, c->attempt);
     if (a == NULL || c->op != FT_COMMAND_START)
       continue;
     a->direct_in_flight = FALSE;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -5,6 +5,10 @@
 
 typedef enum { FT_PRIORITY_LOW, FT_PRIORITY_NORMAL, FT_PRIORITY_HIGH, FT_PRIORITY_PRODUCTION } FtPriority;
 
+/* Arrays are independent tasks; a gang runs whole or not at all; a service runs
+ * whole until it is withdrawn. */
+typedef enum { FT_KIND_ARRAY, FT_KIND_GANG, FT_KIND_SERVICE } FtJobKind;
+
 typedef struct {
   char *name;
   double cpus, cpus_max;
@@ -50,6 +54,7 @@
   char *ref;
   char *job_class;
   char *team;
+  FtJobKind kind;
   FtPriority priority;
   guint tasks;
   double cpus, gpus, memory_gb;
@@ -69,6 +74,7 @@
 
 typedef enum {
   FT_REPORTED_FETCHING,
+  FT_REPORTED_WAITING, /* has its image, waits for the rest of its gang */
   FT_REPORTED_RUNNING,
   FT_REPORTED_SAVING,
   FT_REPORTED_EXITED,
@@ -82,6 +88,8 @@
   FT_WHY_NO_ROOM,
   FT_WHY_BUSY,
   FT_WHY_UNKNOWN,
+  FT_WHY_PEERS, /* another task of its gang ended */
+  FT_WHY_ALONE, /* its gang did not come together in time */
 } FtWhy;
 
 typedef struct {
--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -33,13 +33,25 @@
   return FALSE;
 }
 
+static gboolean
+read_kind (const json_t *body, FtJobKind *kind)
+{
+  static const char *const names[] = { "array", "group", "service" };
+  const char *name = json_string_value (json_object_get (body, "shape"));
+  for (guint i = 0; name != NULL && i < G_N_ELEMENTS (names); i++)
+    if (strcmp (name, names[i]) == 0) {
+      *kind = (FtJobKind) i;
+      return TRUE;
+    }
+  return FALSE;
+}
+
 static gboolean
 read_texts (const json_t *body, FtJobSpec *spec)
 {
-  const char *shape = json_string_value (json_object_get (body, "shape"));
   return ft_field_text (body, "ref", FT_TEXT_MOST, &spec->ref) && ft_ref_valid (spec->ref)
          && ft_field_text (body, "lane", FT_TEXT_MOST, &spec->job_class)
-         && ft_field_text (body, "crew", FT_TEXT_MOST, &spec->team) && g_strcmp0 (shape, "array") == 0
+         && ft_field_text (body, "crew", FT_TEXT_MOST, &spec->team) && read_kind (body, &spec->kind)
          && read_priority (body, &spec->priority) && ft_field_text (body, "bundle", FT_TEXT_MOST, &spec->image)
          && ft_field_text_or_null (body, "yard", FT_TEXT_MOST, &spec->zone)
          && (ft_field_is_null (body, "builds") || ft_field_texts (body, "builds", FT_TEXT_MOST, &spec->types));
@@ -102,8 +114,8 @@
 static gboolean
 read_task_state (const json_t *item, FtReportedTask *task)
 {
-  static const char *const states[] = { "fetching", "running", "flushing", "exited" };
-  static const char *const causes[] = { "", "done", "halted", "error", "no_room", "in_use", "no_such" };
+  static const char *const states[] = { "fetching", "waiting", "running", "flushing", "exited" };
+  static const char *const causes[] = { "", "done", "halted", "error", "no_room", "in_use", "no_such", "peers", "incomplete" };
   const char *state = json_string_value (json_object_get (item, "standing"));
   const char *cause = json_string_value (json_object_get (item, "cause"));
   guint i;
--- a/src/wire/store.c
+++ b/src/wire/store.c
@@ -225,8 +225,8 @@
 ft_row_open (const FtJobSpec *spec)
 {
   return json_pack (
-      "{s:s, s:s, s:i, s:i, s:f, s:f, s:f, s:s, s:f, s:o, s:s?, s:b, s:b, s:b, s:f, s:f, s:f, s:f, s:I}", "class",
-      spec->job_class, "team", spec->team, "priority", (int) spec->priority, "tasks", (int) spec->tasks, "cpus",
+      "{s:s, s:s, s:i, s:i, s:i, s:f, s:f, s:f, s:s, s:f, s:o, s:s?, s:b, s:b, s:b, s:f, s:f, s:f, s:f, s:I}", "class",
+      spec->job_class, "team", spec->team, "kind", (int) spec->kind, "priority", (int) spec->priority, "tasks", (int) spec->tasks, "cpus",
       spec->cpus, "gpus", spec->gpus, "memory_gb", spec->memory_gb, "image", spec->image, "image_gb", spec->image_gb,
       "types", text_list (spec->types), "zone", spec->zone, "one_zone", spec->one_zone, "spread", spec->spread, "spot",
       spec->spot, "estimate_s", spec->estimate_s, "checkpoint_s", spec->checkpoint_s, "save_s", spec->save_s,
@@ -257,9 +257,10 @@
 ft_row_open_parse (const char *ref, const json_t *v)
 {
   g_autoptr (FtJobSpec) spec = g_new0 (FtJobSpec, 1);
-  guint64 priority, tasks, submitted;
+  guint64 kind, priority, tasks, submitted;
   spec->ref = g_strdup (ref);
   if (!ft_field_text (v, "class", FT_TEXT_MOST, &spec->job_class) || !ft_field_text (v, "team", FT_TEXT_MOST, &spec->team)
+      || !ft_field_count (v, "kind", 0, FT_KIND_SERVICE, &kind)
       || !ft_field_count (v, "priority", 0, FT_PRIORITY_PRODUCTION, &priority)
       || !ft_field_count (v, "tasks", 1, FT_JOB_TASKS_MOST, &tasks) || !read_open_amounts (v, spec)
       || !ft_field_text (v, "image", FT_TEXT_MOST, &spec->image)
@@ -268,6 +269,7 @@
       || !ft_field_bool (v, "one_zone", &spec->one_zone) || !ft_field_bool (v, "spread", &spec->spread)
       || !ft_field_bool (v, "spot", &spec->spot) || !ft_field_count (v, "submitted_ms", 0, G_MAXINT64, &submitted))
     return NULL;
+  spec->kind = (FtJobKind) kind;
   spec->priority = (FtPriority) priority;
   spec->tasks = (guint) tasks;
   spec->submitted_wall_ms = (gint64) submitted;
