--- a/src/net/http.c
+++ b/src/net/http.c
@@ -174,6 +174,13 @@
   return g_uri_get_path (soup_server_message_get_uri (request->msg));
 }
 
+const char *
+ft_http_query (const FtHttpRequest *request)
+{
+  const char *query = g_uri_get_query (soup_server_message_get_uri (request->msg));
+  return query != NULL ? query : "";
+}
+
 const json_t *
 ft_http_body (FtHttpRequest *request)
 {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -20,6 +20,8 @@
 
 const char *ft_http_method (const FtHttpRequest *request);
 const char *ft_http_path (const FtHttpRequest *request);
+/* The query without its question mark; may be empty. */
+const char *ft_http_query (const FtHttpRequest *request);
 /* The decoded body; NULL if it is malformed, too large or missing. Borrowed. */
 const json_t *ft_http_body (FtHttpRequest *request);
 /* Takes `body` (may be NULL) and frees the request. */
