Ready compares when peers were last served, not whether they say so

Cause: in an outage nodes notice at different times; a node that noticed first took the others' older "ok" for a sign that it alone was refused. Ruled out: the outage itself (503 with Retry-After are unavoidable then).

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -135,6 +135,8 @@
 #define FT_MESH_FRESH_S 3.5
 /* Seconds without a state answer after which contact counts as lost. */
 #define FT_CONTACT_LOST_S 2.0
+/* Seconds by which a peer must have been served later than we were refused. */
+#define FT_READY_MARGIN_S 1.0
 /* Seconds named in Retry-After. */
 #define FT_RETRY_AFTER_S 1
 /* Final states kept in memory. */
--- a/src/net/mesh.c
+++ b/src/net/mesh.c
@@ -36,8 +36,10 @@
 static json_t *
 beat_body (FtNode *node, gint64 now)
 {
-  json_t *body = json_pack ("{s:s, s:b}", "member", node->config->member, "state_ok",
-                            ft_state_contact (node->state, now));
+  gint64 served = ft_state_last_served (node->state);
+  json_t *body = json_pack ("{s:s}", "member", node->config->member);
+  if (served > 0)
+    json_object_set_new (body, "served_ms_ago", json_integer ((now - served) / 1000));
   if (node->scheduler == NULL)
     return body;
   json_t *jobs = json_object ();
@@ -99,7 +101,9 @@
     if (strcmp (view->peer->member, member) != 0)
       continue;
     view->heard_at = g_get_monotonic_time ();
-    view->state_ok = json_is_true (json_object_get (body, "state_ok"));
+    guint64 age_ms;
+    if (ft_field_count (body, "served_ms_ago", 0, G_MAXINT32, &age_ms))
+      view->served_at = view->heard_at - (gint64) age_ms * 1000;
     if (ft_field_count (body, "token", 1, G_MAXINT32, &token))
       take_summary (node, member, token, json_object_get (body, "jobs"));
     ft_http_respond (request, 200, json_object ());
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -14,7 +14,7 @@
 typedef struct {
   const FtPeer *peer; /* borrowed */
   gint64 heard_at;
-  gboolean state_ok;
+  gint64 served_at; /* when the state service last answered it, on our clock */
   gboolean in_flight;
 } FtPeerView;
 
--- a/src/net/state_client.c
+++ b/src/net/state_client.c
@@ -215,3 +215,9 @@
   return g_queue_get_length ((GQueue *) &state->queues[FT_STATE_COMMIT])
          + g_queue_get_length ((GQueue *) &state->queues[FT_STATE_READ]);
 }
+
+gint64
+ft_state_failing_since (const FtState *state)
+{
+  return state->failing_since;
+}
--- a/src/net/state_client.h
+++ b/src/net/state_client.h
@@ -26,6 +26,8 @@
 
 /* TRUE if the service has answered of late, and was not silent since. */
 gboolean ft_state_contact (const FtState *state, gint64 now);
+/* Since when it has failed us without a break; 0: it serves. */
+gint64 ft_state_failing_since (const FtState *state);
 /* Requests waiting for the budget. */
 guint ft_state_queued (const FtState *state);
 /* When the service last served us; 0: never. */
