--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -64,6 +64,13 @@
 #define FT_RETRY_LONGEST_S 30.0
 /* Seconds after its pause during which a failed task keeps off that machine. */
 #define FT_AVOID_S 10.0
+/* Seconds a job waits for room to come free by itself before work is stopped
+ * for it. */
+#define FT_PREEMPT_AFTER_S 0.5
+/* Share of its estimate that a task may have run, and estimates that must be
+ * left until its deadline, to be stopped for another. */
+#define FT_PREEMPT_RAN_SHARE 0.25
+#define FT_PREEMPT_SLACK 1.3
 /* Seconds a task that was stopped for another leaves its room to that one. */
 #define FT_PREEMPTED_PAUSE_S 2.0
 /* Most tasks placed in one pass, so that a pass stays short. */
--- a/src/core/preempt.c
+++ b/src/core/preempt.c
@@ -2,12 +2,24 @@
  * work that another team runs beyond its own guarantee. */
 #include "core/model.h"
 
+/* Stopping is worth it only for what has hardly begun and can still be in time
+ * when it starts again later. */
 static gboolean
-may_stop (const FtJob *job, const FtAttempt *victim)
+cheap_to_stop (const FtScheduler *s, const FtAttempt *victim)
 {
-  if (!victim->bound || victim->stop_wanted || victim->job == NULL || victim->exited)
+  const FtJob *owner = victim->job;
+  double ran = victim->running ? (double) (s->now - victim->running_at) / FT_SECOND : 0;
+  if (owner->spec->checkpoint_s <= 0 && ran > FT_PREEMPT_RAN_SHARE * owner->spec->estimate_s)
+    return FALSE;
+  double left = (double) (owner->deadline_at - s->now) / FT_SECOND;
+  return owner->deadline_at == 0 || left < 0 || left > FT_PREEMPT_SLACK * owner->spec->estimate_s;
+}
+
+static gboolean
+may_stop (const FtScheduler *s, const FtJob *job, const FtAttempt *victim)
+{
+  if (!victim->bound || victim->stop_wanted || victim->job == NULL || victim->exited || !cheap_to_stop (s, victim))
     return FALSE;
-  /* What has hardly begun is stopped at little cost, what has run long is not. */
   if (job->guaranteed && victim->job->team != job->team && !victim->job->guaranteed)
     return victim->job->team->cpus > victim->job->team->limit->cpus;
   return victim->job->spec->priority < job->spec->priority && !victim->job->guaranteed;
@@ -26,7 +38,7 @@
     g_hash_table_iter_init (&attempts, ((FtMachine *) m)->attempts);
     while (g_hash_table_iter_next (&attempts, NULL, &a)) {
       FtAttempt *victim = a;
-      if (may_stop (job, victim) && victim->cpus >= job->spec->cpus
+      if (may_stop (s, job, victim) && victim->cpus >= job->spec->cpus
           && (best == NULL || victim->placed_at > best->placed_at))
         best = victim;
     }
@@ -52,6 +64,8 @@
 gboolean
 ft_preempt_for (FtScheduler *s, FtJob *job)
 {
+  if (s->now - job->accepted_at < (gint64) (FT_PREEMPT_AFTER_S * FT_SECOND))
+    return FALSE;
   guint wanted = MIN (job->counts[FT_TASK_QUEUED], ft_quota_count (s, job->team, job->spec));
   guint pending = stops_under_way (s);
   gboolean any = FALSE;
