--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -73,6 +73,11 @@
 #define FT_PREEMPT_SLACK 1.3
 /* Seconds a task that was stopped for another leaves its room to that one. */
 #define FT_PREEMPTED_PAUSE_S 2.0
+/* A job is too late when less than this share of its estimate is left until its
+ * deadline; it lets others pass until it is overdue by this many times the time
+ * it had. */
+#define FT_TOO_LATE_SHARE 0.3
+#define FT_TOO_LATE_PATIENCE 3.0
 /* Most tasks placed in one pass, so that a pass stays short. */
 #define FT_PASS_TASKS 256
 
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -47,7 +47,7 @@
   GHashTable *dirty;   /* chunks with finished, uncommitted tasks */
   gboolean final_in_flight, conflicted;
   gint64 accepted_at, deadline_at; /* deadline 0: none */
-  gboolean guaranteed;
+  gboolean guaranteed, too_late;
   guint errors;
   gint64 not_before;
   gint64 pass_blocked; /* pass in which no machine had room */
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -12,12 +12,26 @@
     return x->guaranteed ? -1 : 1;
   if (x->spec->priority != y->spec->priority)
     return x->spec->priority > y->spec->priority ? -1 : 1;
+  if (x->too_late != y->too_late)
+    return x->too_late ? 1 : -1;
   gint64 dx = x->deadline_at ? x->deadline_at : G_MAXINT64, dy = y->deadline_at ? y->deadline_at : G_MAXINT64;
   if (dx != dy)
     return dx < dy ? -1 : 1;
   return x->stamp < y->stamp ? -1 : x->stamp > y->stamp;
 }
 
+/* In overload, earliest deadline first makes every job late. What cannot be in
+ * time any more lets pass what still can, for a bounded time. */
+static gboolean
+too_late (const FtScheduler *s, const FtJob *job)
+{
+  if (job->deadline_at == 0)
+    return FALSE;
+  gint64 needs = (gint64) (job->spec->estimate_s * FT_TOO_LATE_SHARE * FT_SECOND);
+  gint64 patience = (gint64) (FT_TOO_LATE_PATIENCE * (double) (job->deadline_at - job->accepted_at));
+  return s->now + needs > job->deadline_at && s->now < job->deadline_at + patience;
+}
+
 static void
 collect (FtScheduler *s)
 {
@@ -27,8 +41,10 @@
   g_hash_table_iter_init (&it, s->jobs);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     FtJob *job = value;
-    if (job->state == FT_JOB_OPEN && job->team != NULL)
-      g_ptr_array_add (s->order, job);
+    if (job->state != FT_JOB_OPEN || job->team == NULL)
+      continue;
+    job->too_late = too_late (s, job);
+    g_ptr_array_add (s->order, job);
   }
   ft_quota_mark_guaranteed (s);
   g_ptr_array_sort (s->order, by_urgency);
