Idle reserve in proportion to the boot time

Cause: new machines take 50 s at Regina and 25 s at Perth, the reserve was the same share at both; bursts at Regina waited for machines.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -90,8 +90,9 @@
 /* Seconds a spot and an ordinary machine stand idle before they are returned. */
 #define FT_IDLE_SPOT_S 60.0
 #define FT_IDLE_ORDINARY_S 25.0
-/* Idle capacity kept, as a share of what is in use. */
-#define FT_HEADROOM 0.15
+/* Idle capacity kept, as a share of what is in use, for each second that a
+ * machine takes to boot: the longer that is, the more demand may rise meanwhile. */
+#define FT_HEADROOM_PER_BOOT_S 0.006
 /* Seconds before a pool that refused is asked again. */
 #define FT_REFUSED_PAUSE_S 8.0
 /* A machine that boots longer than this many nominal boot times, plus the
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -174,6 +174,16 @@
   return supply;
 }
 
+/* Share of what is in use to keep idle. */
+static double
+headroom (const FtScheduler *s)
+{
+  double boot = 0;
+  for (guint i = 0; i < s->catalog->types->len; i++)
+    boot = MAX (boot, ((const FtMachineType *) g_ptr_array_index (s->catalog->types, i))->boot_s);
+  return boot * FT_HEADROOM_PER_BOOT_S;
+}
+
 static guint
 machines_in (const FtScheduler *s, const FtPool *pool)
 {
@@ -234,7 +244,7 @@
   for (guint i = 0; i < needs->len; i++) {
     const Need *need = &g_array_index (needs, Need, i);
     Supply supply = find_supply (s, need);
-    double reserve = FT_HEADROOM * supply.in_use;
+    double reserve = headroom (s) * supply.in_use;
     double want = need->machines + reserve - supply.free - supply.booting;
     if (want > 0.2)
       rent (s, need, (guint) ceil (want));
@@ -366,7 +376,7 @@
 return_idle (FtScheduler *s)
 {
   Supply supply = find_supply (s, NULL);
-  double spare = supply.free - FT_HEADROOM * supply.in_use - 1;
+  double spare = supply.free - headroom (s) * supply.in_use - 1;
   for (guint n = 0; n < FT_RETURN_IDLE_MOST && spare >= 1; n++, spare--) {
     FtMachine *worst = NULL;
     GHashTableIter it;
