--- a/src/config.c
+++ b/src/config.c
@@ -33,7 +33,7 @@
   guint64 port;
   if (colon == NULL || !g_ascii_string_to_unsigned (colon + 1, 10, 1, 65535, &port, NULL))
     return complain (error, where, name, "an address with a port is needed, like 10.0.0.1:8080");
-  g_autofree char *host = g_strndup (*out, (gsize)(colon - *out));
+  g_autofree char *host = g_strndup (*out, (gsize) (colon - *out));
   return g_hostname_is_ip_address (host) || complain (error, where, name, "the host must be an IP number");
 }
 
@@ -50,7 +50,7 @@
   guint64 value;
   if (!ft_field_count (map, name, least, G_MAXINT32, &value))
     return complain (error, where, name, "a whole number is needed, and not below its least value");
-  *out = (guint)value;
+  *out = (guint) value;
   return TRUE;
 }
 
@@ -88,7 +88,7 @@
   const json_t *list = section (params, "settings", "teams", TRUE, error);
   if (list == NULL)
     return FALSE;
-  c->core.n_teams = (guint)json_array_size (list);
+  c->core.n_teams = (guint) json_array_size (list);
   c->core.teams = g_new0 (FtTeamLimit, c->core.n_teams);
   for (guint i = 0; i < c->core.n_teams; i++) {
     const json_t *item = json_array_get (list, i);
--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -5,9 +5,9 @@
 static gboolean
 type_fits (const FtMachineType *type, const FtJobSpec *spec)
 {
-  if (spec->types != NULL && !g_strv_contains ((const char *const *)spec->types, type->name))
+  if (spec->types != NULL && !g_strv_contains ((const char *const *) spec->types, type->name))
     return FALSE;
-  if (spec->zone != NULL && (type->zones == NULL || !g_strv_contains ((const char *const *)type->zones, spec->zone)))
+  if (spec->zone != NULL && (type->zones == NULL || !g_strv_contains ((const char *const *) type->zones, spec->zone)))
     return FALSE;
   return spec->cpus <= type->cpus + EPSILON && spec->gpus <= type->gpus + EPSILON
          && spec->memory_gb <= type->memory_gb + EPSILON;
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -65,6 +65,12 @@
 #define FT_SILENCE_MARGIN_S 2.0
 /* Seconds between two probes of a machine not heard since the takeover. */
 #define FT_PROBE_EVERY_S 1.0
+/* Seconds beyond the longest ordinary gap after which a report is overdue. */
+#define FT_OVERDUE_MARGIN_S 1.0
+/* Probes without answer, once the report is overdue, after which a machine counts
+ * as silent; and the same for a machine not heard since the takeover. */
+#define FT_PROBES 1
+#define FT_PROBES_TAKEOVER 2
 /* Share of the machines that may be returned for silence within the window. */
 #define FT_SILENT_RETURN_SHARE 0.2
 /* Machines that may always be returned for silence within the window. */
@@ -123,6 +129,8 @@
  * seconds below, is taken for one that never comes up. */
 #define FT_BOOT_FACTOR 3.0
 #define FT_BOOT_PLUS_S 20.0
+/* Share of a machine that must be wanted before one is rented. */
+#define FT_RENT_FROM 0.2
 /* Machines asked for in one rental request (protocol: at most 50). */
 /* Least seconds charged for a machine (protocol): no earlier return saves. */
 #define FT_LEAST_CHARGED_S 60.0
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -26,7 +26,7 @@
 GHashTable *
 ft_fleet_pools_new (void)
 {
-  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)pool_free);
+  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) pool_free);
 }
 
 static FtPool *
@@ -52,6 +52,7 @@
   const char *zone; /* NULL: any */
   gboolean spot;
   double machines;
+  gboolean blocked; /* a job found no room at all */
 } Need;
 
 static guint
@@ -62,7 +63,7 @@
     n = MIN (n, type->memory_gb / spec->memory_gb);
   if (spec->gpus > 0)
     n = MIN (n, type->gpus / spec->gpus);
-  return (guint)MIN (n + 1e-6, G_MAXUINT16);
+  return (guint) MIN (n + 1e-6, G_MAXUINT16);
 }
 
 /* The allowed type on which a task of the job costs least. */
@@ -74,9 +75,9 @@
   for (guint i = 0; i < s->catalog->types->len; i++) {
     const FtMachineType *type = g_ptr_array_index (s->catalog->types, i);
     guint n = per_machine (type, spec);
-    if (n == 0 || (spec->types != NULL && !g_strv_contains ((const char *const *)spec->types, type->name)))
+    if (n == 0 || (spec->types != NULL && !g_strv_contains ((const char *const *) spec->types, type->name)))
       continue;
-    if (spec->zone != NULL && !g_strv_contains ((const char *const *)type->zones, spec->zone))
+    if (spec->zone != NULL && !g_strv_contains ((const char *const *) type->zones, spec->zone))
       continue;
     double price = (spec->spot ? type->spot_price : type->price) / n;
     if (price < best_price) {
@@ -88,16 +89,17 @@
 }
 
 static void
-add_need (GArray *needs, const FtMachineType *type, const char *zone, gboolean spot, double machines)
+add_need (GArray *needs, const FtMachineType *type, const char *zone, gboolean spot, double machines, gboolean blocked)
 {
   for (guint i = 0; i < needs->len; i++) {
     Need *need = &g_array_index (needs, Need, i);
     if (need->type == type && need->spot == spot && g_strcmp0 (need->zone, zone) == 0) {
       need->machines += machines;
+      need->blocked |= blocked;
       return;
     }
   }
-  Need need = { type, zone, spot, machines };
+  Need need = { type, zone, spot, machines, blocked };
   g_array_append_val (needs, need);
 }
 
@@ -111,7 +113,7 @@
     room[t] = s->teams[t].limit->cpus_max - s->teams[t].cpus;
   for (guint i = 0; i < s->order->len; i++) {
     const FtJob *job = g_ptr_array_index (s->order, i);
-    guint t = (guint)(job->team - s->teams);
+    guint t = (guint) (job->team - s->teams);
     double tasks = job->counts[FT_TASK_QUEUED];
     if (job->spec->cpus > 0)
       tasks = MIN (tasks, room[t] / job->spec->cpus);
@@ -119,7 +121,8 @@
     if (type == NULL)
       continue;
     room[t] -= tasks * job->spec->cpus;
-    add_need (needs, type, job->spec->zone, job->spec->spot, tasks / per_machine (type, job->spec));
+    add_need (needs, type, job->spec->zone, job->spec->spot, tasks / per_machine (type, job->spec),
+              job->pass_blocked == s->pass);
   }
   return needs;
 }
@@ -180,7 +183,7 @@
 {
   double boot = 0;
   for (guint i = 0; i < s->catalog->types->len; i++)
-    boot = MAX (boot, ((const FtMachineType *)g_ptr_array_index (s->catalog->types, i))->boot_s);
+    boot = MAX (boot, ((const FtMachineType *) g_ptr_array_index (s->catalog->types, i))->boot_s);
   return boot * s->tuning.headroom_per_boot_s;
 }
 
@@ -259,6 +262,19 @@
   g_message ("rental %s: %u %s in %s%s", pool->booking, pool->asked, pool->type, pool->zone, pool->spot ? " spot" : "");
 }
 
+/* TRUE if a job of this need has found no room for a while. */
+static gboolean
+blocked_long (const FtScheduler *s, const Need *need)
+{
+  for (guint i = 0; i < s->order->len; i++) {
+    const FtJob *job = g_ptr_array_index (s->order, i);
+    if (job->pass_blocked == s->pass && job->spec->spot == need->spot && g_strcmp0 (job->spec->zone, need->zone) == 0
+        && s->now - job->accepted_at > (gint64) (need->type->boot_s * FT_SECOND))
+      return TRUE;
+  }
+  return FALSE;
+}
+
 /* The most wanted machine type gets the idle reserve. */
 static void
 plan_rentals (FtScheduler *s)
@@ -269,8 +285,11 @@
     Supply supply = find_supply (s, need);
     double reserve = headroom (s) * supply.in_use;
     double want = need->machines + reserve - supply.free - supply.booting;
-    if (want > 0.2)
-      rent (s, need, (guint)ceil (want));
+    /* A small rest waits for room to come free, unless none can come: the one
+     * small job of a site without a machine must get one too. */
+    gboolean stuck = need->blocked && supply.booting < 1 && (supply.in_use <= 0 || blocked_long (s, need));
+    if (want > FT_RENT_FROM || stuck)
+      rent (s, need, (guint) MAX (1, ceil (want)));
   }
 }
 
@@ -288,7 +307,7 @@
 boot_failed (const FtScheduler *s, const FtMachine *machine)
 {
   double boot = machine->type != NULL ? machine->type->boot_s : 60;
-  gint64 limit = (gint64)((boot * FT_BOOT_FACTOR + FT_BOOT_PLUS_S) * FT_SECOND);
+  gint64 limit = (gint64) ((boot * FT_BOOT_FACTOR + FT_BOOT_PLUS_S) * FT_SECOND);
   return machine->state == FT_MACHINE_BOOTING && s->now - machine->rented_at > limit;
 }
 
@@ -303,16 +322,16 @@
   gpointer value;
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
-    FtMachineState state = ((FtMachine *)value)->state;
+    FtMachineState state = ((FtMachine *) value)->state;
     up += state == FT_MACHINE_UP;
     silent += state == FT_MACHINE_SILENT;
   }
-  if (s->now - s->silent_window_at > (gint64)(FT_SILENT_RETURN_WINDOW_S * FT_SECOND)) {
+  if (s->now - s->silent_window_at > (gint64) (FT_SILENT_RETURN_WINDOW_S * FT_SECOND)) {
     s->silent_window_at = s->now;
     s->silent_returned = 0;
   }
-  guint most = MAX (FT_SILENT_RETURN_MIN, (guint)(FT_SILENT_RETURN_SHARE * (up + silent)));
-  gint64 long_silent = (gint64)(2 * s->settings->lease_s * FT_SECOND);
+  guint most = MAX (FT_SILENT_RETURN_MIN, (guint) (FT_SILENT_RETURN_SHARE * (up + silent)));
+  gint64 long_silent = (gint64) (2 * s->settings->lease_s * FT_SECOND);
   return (silent <= up || s->now - machine->last_report > long_silent) && s->silent_returned < most;
 }
 
@@ -345,7 +364,7 @@
     const FtAttempt *a = value;
     gboolean doubt = a->direct_unanswered && !a->shown && !a->exited && a->stop_wanted;
     if (doubt)
-      age = MAX (age, (double)(s->now - a->placed_at) / FT_SECOND);
+      age = MAX (age, (double) (s->now - a->placed_at) / FT_SECOND);
     else
       *others |= !a->exited || a->bound;
   }
@@ -391,8 +410,8 @@
 returnable (const FtScheduler *s, const FtMachine *m)
 {
   double idle_s = m->spot ? s->tuning.idle_spot_s : s->tuning.idle_ordinary_s;
-  return ft_machine_usable (s, m) && ft_machine_idle (m) && s->now - m->idle_since > (gint64)(idle_s * FT_SECOND)
-         && s->now - m->rented_at > (gint64)(FT_LEAST_CHARGED_S * FT_SECOND) && !m->command_in_flight;
+  return ft_machine_usable (s, m) && ft_machine_idle (m) && s->now - m->idle_since > (gint64) (idle_s * FT_SECOND)
+         && s->now - m->rented_at > (gint64) (FT_LEAST_CHARGED_S * FT_SECOND) && !m->command_in_flight;
 }
 
 static void
@@ -422,7 +441,7 @@
   give_up_machines (s);
   if (!s->may_start || s->now < s->next_fleet || !s->recovered)
     return;
-  s->next_fleet = s->now + (gint64)(FT_FLEET_EVERY_S * FT_SECOND);
+  s->next_fleet = s->now + (gint64) (FT_FLEET_EVERY_S * FT_SECOND);
   plan_rentals (s);
   return_idle (s);
 }
@@ -513,7 +532,7 @@
     g_message ("machine %s: rented by %s", name, call->booking);
   }
   if (call->names->len < pool->asked)
-    pool->refused_until = s->now + (gint64)(FT_REFUSED_PAUSE_S * FT_SECOND);
+    pool->refused_until = s->now + (gint64) (FT_REFUSED_PAUSE_S * FT_SECOND);
   g_clear_pointer (&pool->booking, g_free);
 }
 
@@ -527,7 +546,7 @@
   if (result == FT_CLOUD_OK) {
     rented (s, pool, call);
   } else if (result == FT_CLOUD_REFUSED) {
-    pool->refused_until = s->now + (gint64)(FT_REFUSED_PAUSE_S * FT_SECOND);
+    pool->refused_until = s->now + (gint64) (FT_REFUSED_PAUSE_S * FT_SECOND);
     g_clear_pointer (&pool->booking, g_free);
   } else {
     /* Perhaps carried out: the same booking is repeated until it is answered. */
@@ -544,7 +563,7 @@
     if (m == NULL)
       continue;
     m->return_in_flight = FALSE;
-    m->return_at = s->now + (gint64)(FT_RETURN_RETRY_S * FT_SECOND);
+    m->return_at = s->now + (gint64) (FT_RETURN_RETRY_S * FT_SECOND);
     if (result == FT_CLOUD_OK && m->state != FT_MACHINE_GONE)
       ft_machine_gone (s, m, "returned");
   }
@@ -569,7 +588,7 @@
   if (entry->state == FT_LISTED_FAILED)
     return;
   FtMachine *m = ft_machine_new (s, entry->name, entry->addr, entry->type, entry->zone, entry->spot);
-  m->rented_at = s->now - (gint64)(entry->age_s * FT_SECOND);
+  m->rented_at = s->now - (gint64) (entry->age_s * FT_SECOND);
   m->accounted = TRUE; /* in no roster: never sent a command */
   m->listed_running = entry->state == FT_LISTED_RUNNING;
   g_hash_table_insert (s->machines, m->name, m);
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -83,7 +83,7 @@
   for (guint i = 0; i < n; i++) {
     FtTaskState state = job->tasks[first + i].state;
     if (state == FT_TASK_FINISHED || state == FT_TASK_DONE)
-      bits[i / 8] |= (guchar)(1u << (i % 8));
+      bits[i / 8] |= (guchar) (1u << (i % 8));
   }
   return g_base64_encode (bits, (n + 7) / 8);
 }
--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -121,7 +121,7 @@
 plan_sweep (FtLease *lease, gint64 now)
 {
   double jitter = lease->jitter > 0 ? g_rand_double_range (lease->random, 1 - lease->jitter, 1 + lease->jitter) : 1;
-  lease->next_sweep = now + (gint64)(lease->sweep_us * jitter);
+  lease->next_sweep = now + (gint64) (lease->sweep_us * jitter);
 }
 
 void
@@ -175,7 +175,7 @@
   if (lease->seen.fence_stamp == 0 || holder_is_self (lease) || lease->seen.released)
     return TRUE;
   gint64 longest = MAX (lease->lease_us, lease->seen.lease_us);
-  return now - lease->unrenewed_since > (gint64)(longest * (1 + FT_CLOCK_DRIFT));
+  return now - lease->unrenewed_since > (gint64) (longest * (1 + FT_CLOCK_DRIFT));
 }
 
 FtLeaseClaim
@@ -195,11 +195,11 @@
 static void
 extend (FtLease *lease, gint64 sent_at)
 {
-  gint64 margin = (gint64)(FT_LEASE_MARGIN_S * FT_SECOND);
+  gint64 margin = (gint64) (FT_LEASE_MARGIN_S * FT_SECOND);
   lease->valid_until
-      = MAX (lease->valid_until, sent_at + (gint64)(lease->sent_lease_us * (1 - FT_CLOCK_DRIFT)) - margin);
+      = MAX (lease->valid_until, sent_at + (gint64) (lease->sent_lease_us * (1 - FT_CLOCK_DRIFT)) - margin);
   lease->last_contact = MAX (lease->last_contact, sent_at);
-  lease->next_renewal = sent_at + (gint64)(lease->lease_us / lease->renew_fraction);
+  lease->next_renewal = sent_at + (gint64) (lease->lease_us / lease->renew_fraction);
 }
 
 void
@@ -231,7 +231,7 @@
 ft_lease_renew_sent (FtLease *lease, gint64 now)
 {
   lease->sent_lease_us = lease->lease_us;
-  lease->next_renewal = now + (gint64)(lease->lease_us / lease->renew_fraction);
+  lease->next_renewal = now + (gint64) (lease->lease_us / lease->renew_fraction);
 }
 
 void
@@ -249,7 +249,7 @@
 void
 ft_lease_renew_failed (FtLease *lease, gint64 now)
 {
-  lease->next_renewal = now + (gint64)(g_rand_double_range (lease->random, 0.2, 0.5) * FT_SECOND);
+  lease->next_renewal = now + (gint64) (g_rand_double_range (lease->random, 0.2, 0.5) * FT_SECOND);
 }
 
 void
@@ -266,7 +266,7 @@
 void
 ft_lease_released (FtLease *lease, gint64 now)
 {
-  lease->abstain_until = now + (gint64)(FT_ABSTAIN_S * FT_SECOND);
+  lease->abstain_until = now + (gint64) (FT_ABSTAIN_S * FT_SECOND);
   ft_lease_lost (lease, now);
 }
 
--- a/src/core/machine.c
+++ b/src/core/machine.c
@@ -15,7 +15,7 @@
 attempt_hash (gconstpointer key)
 {
   const FtAttempt *a = key;
-  return (guint)a->id * 31u + a->index;
+  return (guint) a->id * 31u + a->index;
 }
 
 static gboolean
@@ -28,7 +28,7 @@
 FtAttempt *
 ft_machine_attempt (const FtMachine *machine, const char *ref, guint index, guint64 id)
 {
-  const FtAttempt key = { .id = id, .index = index, .job_ref = (char *)ref };
+  const FtAttempt key = { .id = id, .index = index, .job_ref = (char *) ref };
   return g_hash_table_lookup (machine->attempts, &key);
 }
 
@@ -44,7 +44,7 @@
   machine->type = ft_catalog_find (s->catalog, type);
   machine->rented_at = machine->idle_since = s->now;
   machine->drained = g_hash_table_contains (s->drained, name);
-  machine->attempts = g_hash_table_new_full (attempt_hash, attempt_equal, NULL, (GDestroyNotify)attempt_free);
+  machine->attempts = g_hash_table_new_full (attempt_hash, attempt_equal, NULL, (GDestroyNotify) attempt_free);
   machine->images = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return machine;
 }
@@ -90,7 +90,7 @@
   return machine->state == FT_MACHINE_UP && machine->in_roster && machine->accounted && machine->type != NULL
          && !machine->drained && !machine->faulty && machine->notice_until == 0
          && machine->session > machine->lapsed_session
-         && s->now - machine->last_report < 3 * FT_SECOND + (gint64)(s->settings->report_s * 1.25 * FT_SECOND);
+         && s->now - machine->last_report < 3 * FT_SECOND + (gint64) (s->settings->report_s * 1.25 * FT_SECOND);
 }
 
 gboolean
@@ -98,7 +98,7 @@
 {
   if (machine->spot && !spec->spot)
     return FALSE;
-  if (spec->types != NULL && !g_strv_contains ((const char *const *)spec->types, machine->type_name))
+  if (spec->types != NULL && !g_strv_contains ((const char *const *) spec->types, machine->type_name))
     return FALSE;
   return spec->zone == NULL || g_strcmp0 (spec->zone, machine->zone) == 0;
 }
@@ -108,7 +108,7 @@
 {
   if (each <= 0)
     return G_MAXUINT16;
-  return free_amount <= 0 ? 0 : (guint)MIN (free_amount / each + 1e-6, G_MAXUINT16);
+  return free_amount <= 0 ? 0 : (guint) MIN (free_amount / each + 1e-6, G_MAXUINT16);
 }
 
 /* How many tasks of this kind the machine has room for. */
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -78,6 +78,7 @@
   gint64 rented_at, up_at, last_report, last_answer, idle_since;
   gint64 notice_until; /* 0: none */
   gint64 probe_at;
+  guint probe_fails;  /* direct requests without answer since the last report */
   gint64 return_at;   /* earliest next try of a return */
   gboolean accounted; /* heard under our token, or certainly empty */
   gboolean in_roster, roster_in_flight, roster_wanted;
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -7,7 +7,7 @@
 static gint
 by_urgency (gconstpointer a, gconstpointer b)
 {
-  const FtJob *x = *(FtJob *const *)a, *y = *(FtJob *const *)b;
+  const FtJob *x = *(FtJob *const *) a, *y = *(FtJob *const *) b;
   if (x->guaranteed != y->guaranteed)
     return x->guaranteed ? -1 : 1;
   if (x->spec->priority != y->spec->priority)
@@ -27,8 +27,8 @@
 {
   if (job->deadline_at == 0)
     return FALSE;
-  gint64 needs = (gint64)(job->spec->estimate_s * FT_TOO_LATE_SHARE * FT_SECOND);
-  gint64 patience = (gint64)(FT_TOO_LATE_PATIENCE * (double)(job->deadline_at - job->accepted_at));
+  gint64 needs = (gint64) (job->spec->estimate_s * FT_TOO_LATE_SHARE * FT_SECOND);
+  gint64 patience = (gint64) (FT_TOO_LATE_PATIENCE * (double) (job->deadline_at - job->accepted_at));
   return s->now + needs > job->deadline_at && s->now < job->deadline_at + patience;
 }
 
@@ -123,7 +123,7 @@
 static gboolean
 avoided (const FtScheduler *s, const FtTask *task, const FtMachine *machine)
 {
-  return task->avoid == machine && s->now < task->not_before + (gint64)(FT_AVOID_S * FT_SECOND);
+  return task->avoid == machine && s->now < task->not_before + (gint64) (FT_AVOID_S * FT_SECOND);
 }
 
 static gboolean
@@ -139,7 +139,7 @@
   FtMachine *best = NULL;
   double best_score = INFINITY;
   guint seen = 0;
-  guint n = machines->len, start = n > 0 ? (guint)g_rand_int_range (s->random, 0, (gint32)n) : 0;
+  guint n = machines->len, start = n > 0 ? (guint) g_rand_int_range (s->random, 0, (gint32) n) : 0;
   for (guint i = 0; i < n && seen < s->tuning.sample_size; i++) {
     FtMachine *machine = g_ptr_array_index (machines, (start + i) % n);
     if (!candidate (s, job, task, w, machine))
--- a/src/core/preempt.c
+++ b/src/core/preempt.c
@@ -8,10 +8,10 @@
 cheap_to_stop (const FtScheduler *s, const FtAttempt *victim)
 {
   const FtJob *owner = victim->job;
-  double ran = victim->running ? (double)(s->now - victim->running_at) / FT_SECOND : 0;
+  double ran = victim->running ? (double) (s->now - victim->running_at) / FT_SECOND : 0;
   if (owner->spec->checkpoint_s <= 0 && ran > FT_PREEMPT_RAN_SHARE * owner->spec->estimate_s)
     return FALSE;
-  double left = (double)(owner->deadline_at - s->now) / FT_SECOND;
+  double left = (double) (owner->deadline_at - s->now) / FT_SECOND;
   return owner->deadline_at == 0 || left < 0 || left > FT_PREEMPT_SLACK * owner->spec->estimate_s;
 }
 
@@ -35,7 +35,7 @@
   while (g_hash_table_iter_next (&machines, NULL, &m)) {
     if (!ft_machine_usable (s, m) || !ft_machine_allowed (m, job->spec))
       continue;
-    g_hash_table_iter_init (&attempts, ((FtMachine *)m)->attempts);
+    g_hash_table_iter_init (&attempts, ((FtMachine *) m)->attempts);
     while (g_hash_table_iter_next (&attempts, NULL, &a)) {
       FtAttempt *victim = a;
       if (may_stop (s, job, victim) && victim->cpus >= job->spec->cpus
@@ -54,9 +54,9 @@
   gpointer m, a;
   g_hash_table_iter_init (&machines, s->machines);
   while (g_hash_table_iter_next (&machines, NULL, &m)) {
-    g_hash_table_iter_init (&attempts, ((FtMachine *)m)->attempts);
+    g_hash_table_iter_init (&attempts, ((FtMachine *) m)->attempts);
     while (g_hash_table_iter_next (&attempts, NULL, &a))
-      n += ((FtAttempt *)a)->stop_wanted && !((FtAttempt *)a)->exited;
+      n += ((FtAttempt *) a)->stop_wanted && !((FtAttempt *) a)->exited;
   }
   return n;
 }
@@ -64,7 +64,7 @@
 gboolean
 ft_preempt_for (FtScheduler *s, FtJob *job)
 {
-  if (s->now - job->accepted_at < (gint64)(FT_PREEMPT_AFTER_S * FT_SECOND))
+  if (s->now - job->accepted_at < (gint64) (FT_PREEMPT_AFTER_S * FT_SECOND))
     return FALSE;
   guint wanted = MIN (job->counts[FT_TASK_QUEUED], ft_quota_count (s, job->team, job->spec));
   guint pending = stops_under_way (s);
--- a/src/core/quota.c
+++ b/src/core/quota.c
@@ -36,7 +36,7 @@
   unseen (s, team, &cpus, &gpus);
   double n = MIN (left_over (team->limit->cpus_max, team->cpus + cpus, spec->cpus),
                   left_over (team->limit->gpus_max, team->gpus + gpus, spec->gpus));
-  return n <= 0 ? 0 : (guint)MIN (n, G_MAXUINT16);
+  return n <= 0 ? 0 : (guint) MIN (n, G_MAXUINT16);
 }
 
 gboolean
@@ -48,7 +48,7 @@
 static gint
 by_acceptance (gconstpointer a, gconstpointer b)
 {
-  const FtJob *x = *(FtJob *const *)a, *y = *(FtJob *const *)b;
+  const FtJob *x = *(FtJob *const *) a, *y = *(FtJob *const *) b;
   return x->stamp < y->stamp ? -1 : x->stamp > y->stamp;
 }
 
@@ -63,7 +63,7 @@
   g_autofree double *gpus = g_new0 (double, n);
   for (guint i = 0; i < s->order->len; i++) {
     FtJob *job = g_ptr_array_index (s->order, i);
-    guint t = (guint)(job->team - s->teams);
+    guint t = (guint) (job->team - s->teams);
     cpus[t] += job->spec->cpus * job->spec->tasks;
     gpus[t] += job->spec->gpus * job->spec->tasks;
     job->guaranteed = cpus[t] <= job->team->limit->cpus + EPSILON && gpus[t] <= job->team->limit->gpus + EPSILON;
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -30,7 +30,7 @@
   gpointer value;
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, &value))
-    if (!((FtMachine *)value)->accounted)
+    if (!((FtMachine *) value)->accounted)
       return FALSE;
   return TRUE;
 }
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -22,8 +22,8 @@
   s->teams = g_new0 (FtTeam, settings->n_teams);
   for (guint i = 0; i < settings->n_teams; i++)
     s->teams[i].limit = &settings->teams[i];
-  s->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)ft_job_free);
-  s->machines = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)ft_machine_free);
+  s->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) ft_job_free);
+  s->machines = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) ft_machine_free);
   s->gone = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   s->pools = ft_fleet_pools_new ();
   s->order = g_ptr_array_new ();
@@ -44,7 +44,7 @@
   g_hash_table_unref (s->pools);
   g_ptr_array_unref (s->order);
   g_queue_clear_full (&s->roster_drop, g_free);
-  g_queue_clear_full (&s->closing, (GDestroyNotify)ft_write_free);
+  g_queue_clear_full (&s->closing, (GDestroyNotify) ft_write_free);
   g_rand_free (s->random);
   ft_catalog_unref (s->catalog);
   g_free (s->teams);
@@ -84,7 +84,7 @@
   FtJob *job = ft_job_new (spec, ft_quota_team (s, spec->team), stamp, initial);
   gint64 age_us = MAX (0, wall_ms - spec->submitted_wall_ms) * 1000;
   job->accepted_at = s->now - age_us;
-  job->deadline_at = spec->deadline_s > 0 ? job->accepted_at + (gint64)(spec->deadline_s * FT_SECOND) : 0;
+  job->deadline_at = spec->deadline_s > 0 ? job->accepted_at + (gint64) (spec->deadline_s * FT_SECOND) : 0;
   s->open_tasks += spec->tasks;
   s->dirty = TRUE;
   g_hash_table_insert (s->jobs, spec->ref, job);
@@ -216,7 +216,7 @@
   gpointer value;
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
-    FtMachineState state = ((FtMachine *)value)->state;
+    FtMachineState state = ((FtMachine *) value)->state;
     n += state == FT_MACHINE_UP || state == FT_MACHINE_SILENT;
   }
   return n;
@@ -233,7 +233,7 @@
   task->fails = MIN (task->fails + 1, 20);
   task->avoid = machine;
   double pause = MIN (FT_RETRY_FIRST_S * (1u << MIN (task->fails - 1, 10)), FT_RETRY_LONGEST_S);
-  task->not_before = s->now + (gint64)(pause * FT_SECOND);
+  task->not_before = s->now + (gint64) (pause * FT_SECOND);
   if (why != FT_WHY_ERROR)
     return;
   /* One job that fails everywhere is its owner's mistake; different jobs that
@@ -270,7 +270,7 @@
   if (a->bound) {
     /* Its room is somebody else's for the moment: it does not take it back at once. */
     if (why == FT_WHY_STOPPED && a->stop_wanted && machine->notice_until == 0)
-      a->job->tasks[a->index].not_before = s->now + (gint64)(FT_PREEMPTED_PAUSE_S * FT_SECOND);
+      a->job->tasks[a->index].not_before = s->now + (gint64) (FT_PREEMPTED_PAUSE_S * FT_SECOND);
     gboolean blameless = why == FT_WHY_STOPPED || why == FT_WHY_PEERS || why == FT_WHY_ALONE;
     if (!blameless && a->job->state == FT_JOB_OPEN)
       task_failed (s, a, why);
@@ -389,12 +389,12 @@
 {
   g_autoptr (GList) before = g_hash_table_get_values (machine->attempts);
   for (GList *l = before; l != NULL; l = l->next)
-    ((FtAttempt *)l->data)->listed = FALSE;
+    ((FtAttempt *) l->data)->listed = FALSE;
   for (guint i = 0; i < report->tasks->len; i++)
     apply_task (s, machine, &g_array_index (report->tasks, FtReportedTask, i));
   g_autoptr (GList) after = g_hash_table_get_values (machine->attempts);
   for (GList *l = after; l != NULL; l = l->next)
-    if (!((FtAttempt *)l->data)->listed)
+    if (!((FtAttempt *) l->data)->listed)
       apply_absence (s, l->data, report, is_report);
 }
 
@@ -408,7 +408,7 @@
   if (machine->notice_until == 0)
     g_message ("machine %s: notice, taken in %.1f s", machine->name, notice_s);
   gboolean first = machine->notice_until == 0;
-  machine->notice_until = s->now + (gint64)(notice_s * FT_SECOND);
+  machine->notice_until = s->now + (gint64) (notice_s * FT_SECOND);
   if (!first)
     return;
   g_autoptr (GList) all = g_hash_table_get_values (machine->attempts);
@@ -417,7 +417,7 @@
     if (!a->bound || a->exited)
       continue;
     const FtJobSpec *spec = a->job->spec;
-    double ran = a->running ? (double)(s->now - a->running_at) / FT_SECOND : 0;
+    double ran = a->running ? (double) (s->now - a->running_at) / FT_SECOND : 0;
     if (spec->checkpoint_s > 0 && a->running)
       ft_attempt_want_stop (a, spec->save_s);
     else if (ran + notice_s < 0.6 * spec->estimate_s)
@@ -461,6 +461,7 @@
   }
   machine->sequence = report->sequence;
   machine->last_report = s->now;
+  machine->probe_fails = 0;
   machine->replied = TRUE;
   if (machine->state == FT_MACHINE_BOOTING || machine->state == FT_MACHINE_SILENT) {
     if (machine->state == FT_MACHINE_BOOTING)
@@ -569,13 +570,23 @@
   return direct;
 }
 
+/* The ordinary gap between two reports is over: a probe tells whether the
+ * machine or only the exchange is lost. */
+static gboolean
+report_overdue (const FtScheduler *s, const FtMachine *machine)
+{
+  double gap = s->settings->report_s * 1.25 + FT_OVERDUE_MARGIN_S;
+  return s->now - machine->last_report > (gint64) (gap * FT_SECOND);
+}
+
 static FtDirect *
 direct_to (FtScheduler *s, FtMachine *machine)
 {
   if (machine->command_in_flight || machine->addr == NULL)
     return NULL;
-  if (!machine->accounted && s->now >= machine->probe_at && machine->state != FT_MACHINE_GONE) {
-    machine->probe_at = s->now + (gint64)(FT_PROBE_EVERY_S * FT_SECOND);
+  gboolean ask = !machine->accounted || (machine->state == FT_MACHINE_UP && report_overdue (s, machine));
+  if (ask && s->now >= machine->probe_at && machine->state != FT_MACHINE_GONE) {
+    machine->probe_at = s->now + (gint64) (FT_PROBE_EVERY_S * FT_SECOND);
     return direct_new (machine, ft_commands_new ());
   }
   if (machine->state != FT_MACHINE_UP || !machine->accounted || machine->session <= machine->lapsed_session)
@@ -644,6 +655,8 @@
   if (machine == NULL)
     return TRUE;
   machine->command_in_flight = FALSE;
+  if (result == FT_DIRECT_UNANSWERED && (report_overdue (s, machine) || !machine->accounted))
+    machine->probe_fails++;
   settle_direct (s, machine, direct, result);
   if (report == NULL || g_strcmp0 (report->machine, machine->name) != 0)
     return TRUE;
@@ -701,7 +714,7 @@
 static gint64
 seconds (double s)
 {
-  return (gint64)(s * FT_SECOND);
+  return (gint64) (s * FT_SECOND);
 }
 
 static void
@@ -719,7 +732,9 @@
     machine->lapsed_session = machine->session;
   }
   double silence = s->settings->report_s * 1.25 + FT_WORKER_TIMEOUT_S + FT_SILENCE_MARGIN_S;
-  if (machine->state == FT_MACHINE_UP && s->now - machine->last_report > seconds (silence))
+  gboolean silent = s->now - machine->last_report > seconds (silence)
+                    || machine->probe_fails >= (machine->accounted ? FT_PROBES : FT_PROBES_TAKEOVER);
+  if (machine->state == FT_MACHINE_UP && silent)
     ft_machine_set_state (machine, FT_MACHINE_SILENT);
 }
 
@@ -881,7 +896,7 @@
 ft_scheduler_next_writes (FtScheduler *s, guint ops, gint64 now)
 {
   s->now = now;
-  Batch batch = { g_ptr_array_new_with_free_func ((GDestroyNotify)ft_write_free), ops };
+  Batch batch = { g_ptr_array_new_with_free_func ((GDestroyNotify) ft_write_free), ops };
   if (!s->loaded)
     return batch.writes;
   add_roster (s, &batch);
--- a/src/core/tuning.c
+++ b/src/core/tuning.c
@@ -53,13 +53,13 @@
 ft_tuning_hold (const FtSettings *s)
 {
   double hold = s->cancel_s - s->lease_s - FT_HOLD_MARGIN_S - s->cancel_s * FT_CLOCK_DRIFT;
-  return (gint64)(MAX (hold, 0) * FT_SECOND);
+  return (gint64) (MAX (hold, 0) * FT_SECOND);
 }
 
 char *
 ft_tuning_check (const FtTuning *t, const FtSettings *settings)
 {
-  double hold = (double)ft_tuning_hold (settings) / FT_SECOND;
+  double hold = (double) ft_tuning_hold (settings) / FT_SECOND;
   if (t->lease_s > MAX (hold, FT_LEASE_S))
     return g_strdup_printf ("lease_time above %.1f s: a leader without the state service could start tasks of jobs "
                             "whose withdrawal it cannot see in time",
--- a/src/core/types.c
+++ b/src/core/types.c
@@ -4,7 +4,7 @@
 ft_catalog_new (void)
 {
   FtCatalog *catalog = g_new0 (FtCatalog, 1);
-  catalog->types = g_ptr_array_new_with_free_func ((GDestroyNotify)ft_machine_type_free);
+  catalog->types = g_ptr_array_new_with_free_func ((GDestroyNotify) ft_machine_type_free);
   catalog->refs = 1;
   return catalog;
 }
@@ -70,7 +70,7 @@
   FtReport *report = g_new0 (FtReport, 1);
   report->notice_s = -1;
   report->tasks = g_array_new (FALSE, TRUE, sizeof (FtReportedTask));
-  g_array_set_clear_func (report->tasks, (GDestroyNotify)reported_task_clear);
+  g_array_set_clear_func (report->tasks, (GDestroyNotify) reported_task_clear);
   return report;
 }
 
@@ -97,7 +97,7 @@
 ft_commands_new (void)
 {
   GArray *commands = g_array_new (FALSE, TRUE, sizeof (FtCommand));
-  g_array_set_clear_func (commands, (GDestroyNotify)command_clear);
+  g_array_set_clear_func (commands, (GDestroyNotify) command_clear);
   return commands;
 }
 
@@ -114,6 +114,6 @@
 ft_listed_new (void)
 {
   GArray *list = g_array_new (FALSE, TRUE, sizeof (FtListedMachine));
-  g_array_set_clear_func (list, (GDestroyNotify)listed_clear);
+  g_array_set_clear_func (list, (GDestroyNotify) listed_clear);
   return list;
 }
--- a/src/ctl/flintctl.c
+++ b/src/ctl/flintctl.c
@@ -24,7 +24,7 @@
 {
   Answer *answer = data;
   answer->status = status;
-  answer->body = json_incref ((json_t *)body);
+  answer->body = json_incref ((json_t *) body);
   g_main_loop_quit (answer->loop);
 }
 
@@ -98,12 +98,12 @@
     return;
   }
   GArray *widths = g_array_new (FALSE, TRUE, sizeof (int));
-  json_object_foreach ((json_t *)first, name, value)
+  json_object_foreach ((json_t *) first, name, value)
   {
-    int width = (int)strlen (name);
+    int width = (int) strlen (name);
     for (size_t i = 0; i < json_array_size (rows); i++) {
       g_autofree char *text = cell (json_object_get (json_array_get (rows, i), name));
-      width = MAX (width, (int)strlen (text));
+      width = MAX (width, (int) strlen (text));
     }
     g_array_append_val (widths, width);
     printf ("%-*s  ", width, name);
@@ -111,7 +111,7 @@
   printf ("\n");
   for (size_t i = 0; i < json_array_size (rows); i++) {
     guint column = 0;
-    json_object_foreach ((json_t *)first, name, value)
+    json_object_foreach ((json_t *) first, name, value)
     {
       g_autofree char *text = cell (json_object_get (json_array_get (rows, i), name));
       printf ("%-*s  ", g_array_index (widths, int, column++), text);
@@ -126,7 +126,7 @@
 {
   const char *name;
   json_t *value;
-  json_object_foreach ((json_t *)map, name, value)
+  json_object_foreach ((json_t *) map, name, value)
   {
     if (json_is_array (value) || json_is_object (value))
       continue;
@@ -165,35 +165,35 @@
 static int
 cmd_status (char **args)
 {
-  (void)args;
+  (void) args;
   return show ("/admin/status", "peers");
 }
 
 static int
 cmd_teams (char **args)
 {
-  (void)args;
+  (void) args;
   return show ("/admin/teams", "teams");
 }
 
 static int
 cmd_jobs (char **args)
 {
-  (void)args;
+  (void) args;
   return show ("/admin/jobs", "jobs");
 }
 
 static int
 cmd_queue (char **args)
 {
-  (void)args;
+  (void) args;
   return show ("/admin/queue", "queue");
 }
 
 static int
 cmd_machines (char **args)
 {
-  (void)args;
+  (void) args;
   return show ("/admin/machines", "machines");
 }
 
@@ -222,7 +222,7 @@
 static int
 cmd_metrics (char **args)
 {
-  (void)args;
+  (void) args;
   json_t *body = NULL, *value;
   const char *name;
   int code = ask ("GET", "/admin/metrics", NULL, &body);
@@ -358,7 +358,7 @@
     fprintf (stderr, "flintctl: %s\n", error->message);
     return EXIT_USAGE;
   }
-  guint n = (guint)argc - 1;
+  guint n = (guint) argc - 1;
   if (command == NULL || n < command->least || n > command->most) {
     g_autofree char *help = g_option_context_get_help (context, TRUE, NULL);
     fprintf (stderr, "%s", help);
@@ -389,7 +389,7 @@
       fprintf (stderr, "flintctl: there is no command %s; see --help\n", argv[i]);
       return EXIT_USAGE;
     }
-    memmove (&argv[i], &argv[i + 1], sizeof (char *) * (size_t)(argc - i));
+    memmove (&argv[i], &argv[i + 1], sizeof (char *) * (size_t) (argc - i));
     argc--;
   }
   int code = run_command (command, argc, argv);
--- a/src/log.c
+++ b/src/log.c
@@ -20,12 +20,12 @@
 static GLogWriterOutput
 writer (GLogLevelFlags level, const GLogField *fields, gsize n, gpointer data)
 {
-  (void)data;
+  (void) data;
   if ((level & shown) == 0)
     return G_LOG_WRITER_HANDLED;
   for (gsize i = 0; i < n; i++)
     if (strcmp (fields[i].key, "MESSAGE") == 0)
-      fprintf (stderr, "%s %s %s\n", self, level_name (level), (const char *)fields[i].value);
+      fprintf (stderr, "%s %s %s\n", self, level_name (level), (const char *) fields[i].value);
   return G_LOG_WRITER_HANDLED;
 }
 
--- a/src/net/admin.c
+++ b/src/net/admin.c
@@ -50,7 +50,7 @@
     const FtPeerView *view = &g_array_index (node->peers, FtPeerView, i);
     json_array_append_new (
         list, json_pack ("{s:s, s:s, s:o}", "member", view->peer->member, "addr", view->peer->addr, "heard_s_ago",
-                         view->heard_at > 0 ? json_real (round ((double)(now - view->heard_at) / 10000) / 100)
+                         view->heard_at > 0 ? json_real (round ((double) (now - view->heard_at) / 10000) / 100)
                                             : json_null ()));
   }
   return list;
@@ -64,11 +64,11 @@
       = json_pack ("{s:s, s:s, s:b, s:b, s:s, s:s?, s:I, s:b, s:i, s:o}", "member", node->config->member, "version",
                    FT_VERSION, "ready", ft_node_ready (node, now), "state_service", ft_state_contact (node->state, now),
                    "lease", ft_lease_state_name (ft_lease_state (node->lease)), "leader", leader_name (node), "token",
-                   (json_int_t)(node->scheduler != NULL ? ft_lease_token (node->lease) : node->mesh_token), "recovered",
-                   node->scheduler != NULL && ft_scheduler_is_loaded (node->scheduler), "user_connections",
-                   (int)ft_http_server_connections (node->front), "peers", peers_body (node, now));
+                   (json_int_t) (node->scheduler != NULL ? ft_lease_token (node->lease) : node->mesh_token),
+                   "recovered", node->scheduler != NULL && ft_scheduler_is_loaded (node->scheduler), "user_connections",
+                   (int) ft_http_server_connections (node->front), "peers", peers_body (node, now));
   if (node->scheduler != NULL)
-    json_object_set_new (body, "lease_age_s", json_real ((double)(now - node->led_since) / FT_SECOND));
+    json_object_set_new (body, "lease_age_s", json_real ((double) (now - node->led_since) / FT_SECOND));
   ft_http_respond (request, 200, body);
 }
 
@@ -85,8 +85,8 @@
          const char *waits_for, gpointer data)
 {
   json_array_append_new (data, json_pack ("{s:s, s:s, s:s, s:i, s:i, s:i, s:s}", "job", ref, "class", job_class,
-                                          "state", state, "tasks", (int)tasks, "done", (int)done, "running",
-                                          (int)running, "waits_for", waits_for));
+                                          "state", state, "tasks", (int) tasks, "done", (int) done, "running",
+                                          (int) running, "waits_for", waits_for));
 }
 
 static void
@@ -103,7 +103,7 @@
 {
   json_array_append_new (data, json_pack ("{s:s, s:s, s:s, s:s, s:s, s:I, s:i, s:s}", "machine", name, "state", state,
                                           "type", type, "zone", zone, "kind", spot ? "spot" : "ordinary", "session",
-                                          (json_int_t)session, "tasks", (int)tasks, "not_used_because", unused_why));
+                                          (json_int_t) session, "tasks", (int) tasks, "not_used_because", unused_why));
 }
 
 static void
@@ -153,7 +153,7 @@
     json_object_set_new (item, "default", ft_setting_value (&standard, &all[i]));
     json_array_append_new (list, item);
   }
-  return json_pack ("{s:I, s:o}", "version", (json_int_t)version, "settings", list);
+  return json_pack ("{s:I, s:o}", "version", (json_int_t) version, "settings", list);
 }
 
 void
@@ -163,12 +163,12 @@
     return;
   node->tuning = *tuning;
   node->settings_version = version;
-  ft_lease_set_times (node->lease, (gint64)(tuning->lease_s * FT_SECOND), (gint64)(tuning->sweep_s * FT_SECOND),
+  ft_lease_set_times (node->lease, (gint64) (tuning->lease_s * FT_SECOND), (gint64) (tuning->sweep_s * FT_SECOND),
                       tuning->sweep_jitter, tuning->renew_fraction);
   if (node->scheduler != NULL)
     ft_scheduler_set_tuning (node->scheduler, tuning);
   const char *const choices[] = FT_LOG_CHOICES;
-  guint level = (guint)tuning->log_level;
+  guint level = (guint) tuning->log_level;
   const char *environment = g_getenv ("LOG_LEVEL");
   ft_log_set_level (level > 0 ? choices[level] : environment != NULL ? environment : "error");
   g_message ("node %s: operators' settings of version %" G_GUINT64_FORMAT, node->config->member, version);
@@ -196,7 +196,7 @@
 {
   if (now < node->next_settings || node->settings_in_flight)
     return;
-  node->next_settings = now + (gint64)(FT_SETTINGS_EVERY_S * FT_SECOND);
+  node->next_settings = now + (gint64) (FT_SETTINGS_EVERY_S * FT_SECOND);
   node->settings_in_flight = TRUE;
   ft_state_get (node->state, FT_KEY_SETTINGS, FT_STATE_READ, on_settings, node);
 }
@@ -230,9 +230,9 @@
     refuse (request, 400, "needed: {\"version\": N, \"set\": {NAME: VALUE}}");
     return FALSE;
   }
-  *version = (guint64)json_integer_value (stated);
+  *version = (guint64) json_integer_value (stated);
   *tuning = node->tuning;
-  json_object_foreach ((json_t *)set, name, value)
+  json_object_foreach ((json_t *) set, name, value)
   {
     const FtTuningInfo *info = ft_tuning_find (name);
     double number = info != NULL ? info->standard : 0;
@@ -290,7 +290,7 @@
 on_drained (guint status, const json_t *body, gpointer data)
 {
   AdminCall *call = data;
-  (void)body;
+  (void) body;
   if (status != 200) {
     refuse (call->request, 503, "the state service did not confirm the change: try again");
   } else {
--- a/src/net/budget.c
+++ b/src/net/budget.c
@@ -11,7 +11,7 @@
 static void
 fill (FtBudget *budget, gint64 now)
 {
-  budget->level = MIN (budget->burst, budget->level + budget->rate * (double)(now - budget->at) / FT_SECOND);
+  budget->level = MIN (budget->burst, budget->level + budget->rate * (double) (now - budget->at) / FT_SECOND);
   budget->at = now;
 }
 
--- a/src/net/front.c
+++ b/src/net/front.c
@@ -13,10 +13,10 @@
   if (ft_state_contact (node->state, now))
     return TRUE;
   gboolean heard = FALSE;
-  gint64 lost = ft_state_failing_since (node->state) + (gint64)(FT_READY_MARGIN_S * FT_SECOND);
+  gint64 lost = ft_state_failing_since (node->state) + (gint64) (FT_READY_MARGIN_S * FT_SECOND);
   for (guint i = 0; i < node->peers->len; i++) {
     const FtPeerView *view = &g_array_index (node->peers, FtPeerView, i);
-    if (view->heard_at == 0 || now - view->heard_at > (gint64)(FT_MESH_FRESH_S * FT_SECOND))
+    if (view->heard_at == 0 || now - view->heard_at > (gint64) (FT_MESH_FRESH_S * FT_SECOND))
       continue;
     heard = TRUE;
     /* Served since we are not: the trouble is ours alone. */
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -31,7 +31,7 @@
   if (size == 0)
     return NULL;
   return kind == FT_BODY_CBOR ? ft_cbor_decode (data, size)
-                              : json_loadb ((const char *)data, size, JSON_REJECT_DUPLICATES, NULL);
+                              : json_loadb ((const char *) data, size, JSON_REJECT_DUPLICATES, NULL);
 }
 
 /* ---- server ---- */
@@ -56,7 +56,7 @@
 static void
 socket_gone (gpointer data, GObject *where)
 {
-  g_hash_table_remove (((FtHttpServer *)data)->sockets, where);
+  g_hash_table_remove (((FtHttpServer *) data)->sockets, where);
 }
 
 static void
@@ -71,7 +71,7 @@
 static void
 on_chunk (SoupServerMessage *msg, GBytes *chunk, gpointer data)
 {
-  (void)data;
+  (void) data;
   gsize *total = g_object_get_data (G_OBJECT (msg), "ft-total");
   *total += g_bytes_get_size (chunk);
   if (*total > FT_BODY_MOST)
@@ -83,9 +83,9 @@
 static void
 on_headers (SoupServer *soup, SoupServerMessage *msg, const char *path, GHashTable *query, gpointer data)
 {
-  (void)soup;
-  (void)path;
-  (void)query;
+  (void) soup;
+  (void) path;
+  (void) query;
   count_connection (data, msg);
   g_object_set_data_full (G_OBJECT (msg), "ft-total", g_new0 (gsize, 1), g_free);
   g_signal_connect (msg, "got-chunk", G_CALLBACK (on_chunk), NULL);
@@ -94,16 +94,16 @@
 static void
 on_finished (SoupServerMessage *msg, gpointer data)
 {
-  (void)msg;
-  ((FtHttpRequest *)data)->gone = TRUE;
+  (void) msg;
+  ((FtHttpRequest *) data)->gone = TRUE;
 }
 
 static void
 on_request (SoupServer *soup, SoupServerMessage *msg, const char *path, GHashTable *query, gpointer data)
 {
-  (void)soup;
-  (void)path;
-  (void)query;
+  (void) soup;
+  (void) path;
+  (void) query;
   FtHttpServer *server = data;
   FtHttpRequest *request = g_new0 (FtHttpRequest, 1);
   request->server = server;
@@ -119,7 +119,7 @@
   g_auto (GStrv) parts = g_strsplit (addr, ":", 2);
   g_autoptr (GSocketAddress) address = NULL;
   if (g_strv_length (parts) == 2)
-    address = g_inet_socket_address_new_from_string (parts[0], (guint)g_ascii_strtoull (parts[1], NULL, 10));
+    address = g_inet_socket_address_new_from_string (parts[0], (guint) g_ascii_strtoull (parts[1], NULL, 10));
   if (address == NULL) {
     g_set_error (error, G_IO_ERROR, G_IO_ERROR_INVALID_ARGUMENT, "%s is not an address and a port", addr);
     return NULL;
@@ -254,7 +254,7 @@
 ft_http_client_new (guint per_host, guint most)
 {
   FtHttpClient *client = g_new0 (FtHttpClient, 1);
-  client->session = soup_session_new_with_options ("max-conns", (int)most, "max-conns-per-host", (int)per_host,
+  client->session = soup_session_new_with_options ("max-conns", (int) most, "max-conns-per-host", (int) per_host,
                                                    "idle-timeout", FT_CLIENT_IDLE_S, "timeout", 0, NULL);
   soup_session_set_proxy_resolver (client->session, NULL);
   return client;
@@ -321,6 +321,6 @@
     g_autoptr (GBytes) bytes = encode (kind, body);
     soup_message_set_request_body_from_bytes (msg, content_type (kind), bytes);
   }
-  call->timer = g_timeout_add ((guint)(timeout_s * 1000), on_timeout, call);
+  call->timer = g_timeout_add ((guint) (timeout_s * 1000), on_timeout, call);
   soup_session_send_and_read_async (client->session, msg, G_PRIORITY_DEFAULT, call->cancel, on_answer, call);
 }
--- a/src/net/leader.c
+++ b/src/net/leader.c
@@ -69,7 +69,7 @@
 try_again (Call *call, void (*again) (Call *call))
 {
   call->again = again;
-  g_timeout_add ((guint)(FT_BACKOFF_FIRST_S * 1000), on_again, call);
+  g_timeout_add ((guint) (FT_BACKOFF_FIRST_S * 1000), on_again, call);
 }
 
 static gint64
@@ -82,7 +82,7 @@
 soon (FtNode *node)
 {
   return g_get_monotonic_time ()
-         + (gint64)(g_rand_double_range (node->random, 0.5, 1.5) * FT_BACKOFF_FIRST_S * FT_SECOND);
+         + (gint64) (g_rand_double_range (node->random, 0.5, 1.5) * FT_BACKOFF_FIRST_S * FT_SECOND);
 }
 
 /* ---- recovery: jobs, done-sets, roster ---- */
@@ -257,11 +257,11 @@
     return;
   }
   g_autoptr (Call) owned = call;
-  if ((guint64)json_integer_value (json_object_get (row.value, "token")) != ft_lease_token (node->lease)) {
+  if ((guint64) json_integer_value (json_object_get (row.value, "token")) != ft_lease_token (node->lease)) {
     ft_node_step_down (node, "the journal is another leader's");
     return;
   }
-  gboolean applied = (guint64)json_integer_value (json_object_get (row.value, "batch")) == call->batch;
+  gboolean applied = (guint64) json_integer_value (json_object_get (row.value, "batch")) == call->batch;
   node->journal_stamp = row.stamp;
   batch_over (node, call, applied, NULL);
 }
@@ -540,11 +540,11 @@
   watch (node, now);
   if (now >= node->next_list && !node->list_in_flight && ft_budget_has (&node->cloud_budget, 1, now)
       && ft_scheduler_is_loaded (node->scheduler)) {
-    node->next_list = now + (gint64)(FT_LIST_EVERY_S * FT_SECOND);
+    node->next_list = now + (gint64) (FT_LIST_EVERY_S * FT_SECOND);
     list_machines (node, ft_listed_new ());
   }
   if (now >= node->next_scheduler_tick) {
-    node->next_scheduler_tick = now + (gint64)(FT_SCHEDULER_TICK_S * FT_SECOND);
+    node->next_scheduler_tick = now + (gint64) (FT_SCHEDULER_TICK_S * FT_SECOND);
     ft_scheduler_tick (node->scheduler, now, ft_lease_may_start (node->lease, now));
     ft_leader_pump (node, now);
   }
--- a/src/net/mesh.c
+++ b/src/net/mesh.c
@@ -16,8 +16,8 @@
 on_beat (guint status, const json_t *body, gpointer data)
 {
   g_autofree Beat *beat = data;
-  (void)status;
-  (void)body;
+  (void) status;
+  (void) body;
   g_array_index (beat->node->peers, FtPeerView, beat->peer).in_flight = FALSE;
 }
 
@@ -25,12 +25,12 @@
 add_job (const char *ref, const char *job_class, const char *state, guint tasks, guint done, guint running,
          const char *waits_for, gpointer data)
 {
-  (void)job_class;
-  (void)state;
-  (void)tasks;
-  (void)waits_for;
+  (void) job_class;
+  (void) state;
+  (void) tasks;
+  (void) waits_for;
   if (done > 0 || running > 0)
-    json_object_set_new (data, ref, json_pack ("[i, i]", (int)done, (int)running));
+    json_object_set_new (data, ref, json_pack ("[i, i]", (int) done, (int) running));
 }
 
 static json_t *
@@ -44,7 +44,7 @@
     return body;
   json_t *jobs = json_object ();
   ft_scheduler_each_job (node->scheduler, add_job, jobs);
-  json_object_set_new (body, "token", json_integer ((json_int_t)ft_lease_token (node->lease)));
+  json_object_set_new (body, "token", json_integer ((json_int_t) ft_lease_token (node->lease)));
   json_object_set_new (body, "jobs", jobs);
   return body;
 }
@@ -54,7 +54,7 @@
 {
   if (now < node->next_mesh)
     return;
-  node->next_mesh = now + (gint64)(FT_MESH_EVERY_S * FT_SECOND);
+  node->next_mesh = now + (gint64) (FT_MESH_EVERY_S * FT_SECOND);
   json_t *body = beat_body (node, now);
   for (guint i = 0; i < node->peers->len; i++) {
     FtPeerView *view = &g_array_index (node->peers, FtPeerView, i);
@@ -81,11 +81,11 @@
   g_free (node->mesh_leader);
   node->mesh_leader = g_strdup (member);
   g_hash_table_remove_all (node->mesh_jobs);
-  json_object_foreach ((json_t *)jobs, ref, item)
+  json_object_foreach ((json_t *) jobs, ref, item)
   {
     FtJobView *view = g_new0 (FtJobView, 1);
-    view->done = (guint)json_integer_value (json_array_get (item, 0));
-    view->running = (guint)json_integer_value (json_array_get (item, 1));
+    view->done = (guint) json_integer_value (json_array_get (item, 0));
+    view->running = (guint) json_integer_value (json_array_get (item, 1));
     g_hash_table_insert (node->mesh_jobs, g_strdup (ref), view);
   }
 }
@@ -103,7 +103,7 @@
     view->heard_at = g_get_monotonic_time ();
     guint64 age_ms;
     if (ft_field_count (body, "served_ms_ago", 0, G_MAXINT32, &age_ms))
-      view->served_at = view->heard_at - (gint64)age_ms * 1000;
+      view->served_at = view->heard_at - (gint64) age_ms * 1000;
     if (ft_field_count (body, "token", 1, G_MAXINT32, &token))
       take_summary (node, member, token, json_object_get (body, "jobs"));
     ft_http_respond (request, 200, json_object ());
--- a/src/net/metrics.c
+++ b/src/net/metrics.c
@@ -57,7 +57,7 @@
 void
 ft_metrics_time (FtMetrics *metrics, FtTimer timer, gint64 us)
 {
-  double ms = CLAMP ((double)us / 1000, FT_HISTOGRAM_LEAST_MS, FT_HISTOGRAM_MOST_MS * 0.999);
+  double ms = CLAMP ((double) us / 1000, FT_HISTOGRAM_LEAST_MS, FT_HISTOGRAM_MOST_MS * 0.999);
   gsl_histogram_increment (metrics->timers[timer], ms);
 }
 
@@ -78,11 +78,11 @@
 {
   json_t *counters = json_object (), *timers = json_object ();
   for (int i = 0; i < FT_COUNTERS; i++)
-    json_object_set_new (counters, counter_names[i], json_integer ((json_int_t)metrics->counters[i]));
+    json_object_set_new (counters, counter_names[i], json_integer ((json_int_t) metrics->counters[i]));
   for (int i = 0; i < FT_TIMERS; i++) {
     const gsl_histogram *h = metrics->timers[i];
     json_object_set_new (timers, timer_names[i],
-                         json_pack ("{s:I, s:f, s:f, s:f}", "count", (json_int_t)gsl_histogram_sum (h), "p50",
+                         json_pack ("{s:I, s:f, s:f, s:f}", "count", (json_int_t) gsl_histogram_sum (h), "p50",
                                     quantile (h, 0.5), "p95", quantile (h, 0.95), "p99", quantile (h, 0.99)));
   }
   return json_pack ("{s:o, s:o}", "counters", counters, "latency", timers);
--- a/src/net/node.c
+++ b/src/net/node.c
@@ -97,7 +97,7 @@
 {
   g_autofree LeaseCall *call = data;
   FtNode *node = call->node;
-  (void)body;
+  (void) body;
   if (call->term != node->term)
     return;
   node->renew_in_flight = FALSE;
@@ -122,8 +122,8 @@
 static void
 on_released (guint status, const json_t *body, gpointer data)
 {
-  (void)status;
-  (void)body;
+  (void) status;
+  (void) body;
   g_free (data);
 }
 
@@ -132,8 +132,8 @@
 cut_off (const FtNode *node, gint64 now)
 {
   const FtSettings *s = &node->config->core;
-  gint64 gap = (gint64)((s->report_s * 1.25 + FT_CUT_OFF_MARGIN_S) * FT_SECOND);
-  if (now - node->led_since < (gint64)(FT_CUT_OFF_GRACE_S * FT_SECOND))
+  gint64 gap = (gint64) ((s->report_s * 1.25 + FT_CUT_OFF_MARGIN_S) * FT_SECOND);
+  if (now - node->led_since < (gint64) (FT_CUT_OFF_GRACE_S * FT_SECOND))
     return FALSE;
   return node->config->peers->len > 0 && now - node->last_report > gap
          && ft_scheduler_up (node->scheduler) >= FT_CUT_OFF_MACHINES;
@@ -170,7 +170,7 @@
   FtNode *node = data;
   FtCatalog *catalog = status == 200 ? ft_cloud_catalog (body) : NULL;
   node->catalog_in_flight = FALSE;
-  node->next_catalog = g_get_monotonic_time () + (gint64)((catalog != NULL ? FT_CATALOG_EVERY_S : 1) * FT_SECOND);
+  node->next_catalog = g_get_monotonic_time () + (gint64) ((catalog != NULL ? FT_CATALOG_EVERY_S : 1) * FT_SECOND);
   if (catalog == NULL)
     return;
   ft_catalog_unref (node->catalog);
@@ -212,10 +212,10 @@
   gint64 now = g_get_monotonic_time ();
   node->config = config;
   node->random = g_rand_new ();
-  node->incarnation = ((guint64)g_rand_int (node->random) << 30) ^ g_rand_int (node->random);
+  node->incarnation = ((guint64) g_rand_int (node->random) << 30) ^ g_rand_int (node->random);
   node->hold_us = ft_tuning_hold (&config->core);
-  node->lease = ft_lease_new (config->member, node->incarnation, (gint64)(FT_LEASE_S * FT_SECOND),
-                              (gint64)(FT_SWEEP_S * FT_SECOND), node->hold_us, g_rand_int (node->random));
+  node->lease = ft_lease_new (config->member, node->incarnation, (gint64) (FT_LEASE_S * FT_SECOND),
+                              (gint64) (FT_SWEEP_S * FT_SECOND), node->hold_us, g_rand_int (node->random));
   node->metrics = ft_metrics_new ();
   ft_tuning_defaults (&node->tuning);
   node->state = ft_state_new (config);
@@ -231,7 +231,7 @@
   node->mesh_jobs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   node->finals = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_queue_init (&node->final_order);
-  guint most = (guint)(config->max_connections * FT_SOCKET_SHARE) - FT_CONNECTIONS_PER_HOST;
+  guint most = (guint) (config->max_connections * FT_SOCKET_SHARE) - FT_CONNECTIONS_PER_HOST;
   node->front = ft_http_server_new (config->listen, FT_BODY_CBOR, most, ft_front_handle, node, error);
   if (node->front != NULL)
     node->mesh_server = ft_http_server_new (config->mesh_listen, FT_BODY_JSON, most, ft_mesh_handle, node, error);
--- a/src/net/state_client.c
+++ b/src/net/state_client.c
@@ -61,7 +61,7 @@
   if (state->pump_timer != 0)
     g_source_remove (state->pump_timer);
   for (int i = 0; i <= FT_STATE_READ; i++)
-    g_queue_clear_full (&state->queues[i], (GDestroyNotify)request_free);
+    g_queue_clear_full (&state->queues[i], (GDestroyNotify) request_free);
   ft_http_client_free (state->client);
   ft_http_client_free (state->lease_client);
   ft_http_client_free (state->watch_client);
@@ -144,8 +144,8 @@
   request->state = state;
   request->method = g_strdup (method);
   request->path = path;
-  request->body = json_incref ((json_t *)body);
-  request->writes = body != NULL ? (guint)json_array_size (json_object_get (body, "apply")) : 0;
+  request->body = json_incref ((json_t *) body);
+  request->writes = body != NULL ? (guint) json_array_size (json_object_get (body, "apply")) : 0;
   request->timeout_s = FT_STATE_TIMEOUT_S;
   request->done = done;
   request->data = data;
@@ -187,7 +187,7 @@
   request->state = state;
   request->method = g_strdup ("GET");
   request->path = g_strdup_printf ("/follow?under=%s&since=%" G_GUINT64_FORMAT "&block_ms=%d", prefix, since,
-                                   (int)(FT_WATCH_S * 1000));
+                                   (int) (FT_WATCH_S * 1000));
   request->timeout_s = FT_WATCH_S + FT_WATCH_SLACK_S;
   request->done = done;
   request->data = data;
@@ -200,7 +200,7 @@
 {
   if (state->last_served == 0)
     return FALSE;
-  return state->failing_since == 0 || now - state->failing_since < (gint64)(FT_CONTACT_LOST_S * FT_SECOND);
+  return state->failing_since == 0 || now - state->failing_since < (gint64) (FT_CONTACT_LOST_S * FT_SECOND);
 }
 
 gint64
@@ -212,8 +212,8 @@
 guint
 ft_state_queued (const FtState *state)
 {
-  return g_queue_get_length ((GQueue *)&state->queues[FT_STATE_COMMIT])
-         + g_queue_get_length ((GQueue *)&state->queues[FT_STATE_READ]);
+  return g_queue_get_length ((GQueue *) &state->queues[FT_STATE_COMMIT])
+         + g_queue_get_length ((GQueue *) &state->queues[FT_STATE_READ]);
 }
 
 gint64
--- a/src/net/user_api.c
+++ b/src/net/user_api.c
@@ -49,7 +49,7 @@
 static gboolean
 too_late (const UserCall *call)
 {
-  return g_get_monotonic_time () - call->began > (gint64)(FT_USER_DEADLINE_S * FT_SECOND);
+  return g_get_monotonic_time () - call->began > (gint64) (FT_USER_DEADLINE_S * FT_SECOND);
 }
 
 /* ---- states ---- */
@@ -150,7 +150,7 @@
 on_created (guint status, const json_t *body, gpointer data)
 {
   UserCall *call = data;
-  (void)body;
+  (void) body;
   if (status == 200)
     finish (call, 201, ft_message_job_state (call->ref, "queued", 0, 0, FALSE));
   else if (status == 409 || status == 0)
@@ -222,7 +222,7 @@
 on_withdrawn (guint status, const json_t *body, gpointer data)
 {
   UserCall *call = data;
-  (void)body;
+  (void) body;
   if (status == 200) {
     g_message ("job %s: withdrawn", call->ref);
     ft_metrics_count (call->node->metrics, FT_COUNT_WITHDRAWN);
--- a/src/wire/cbor.c
+++ b/src/wire/cbor.c
@@ -86,7 +86,7 @@
 static void
 builder_text (Builder *b, const guint8 *data, gsize size)
 {
-  json_t *text = json_stringn ((const char *)data, size);
+  json_t *text = json_stringn ((const char *) data, size);
   if (text == NULL)
     b->failed = TRUE; /* not UTF-8 */
   else
@@ -97,9 +97,9 @@
 builder_integer (Builder *b, guint64 value, gboolean negative)
 {
   if (value > G_MAXINT64)
-    builder_add (b, json_real (negative ? -1.0 - (double)value : (double)value));
+    builder_add (b, json_real (negative ? -1.0 - (double) value : (double) value));
   else
-    builder_add (b, json_integer (negative ? -1 - (gint64)value : (gint64)value));
+    builder_add (b, json_integer (negative ? -1 - (gint64) value : (gint64) value));
 }
 
 static void
@@ -144,7 +144,7 @@
 {
   Builder *b = context;
   if (b->text != NULL)
-    g_string_append_len (b->text, (const char *)data, size);
+    g_string_append_len (b->text, (const char *) data, size);
   else
     builder_text (b, data, size);
 }
@@ -165,7 +165,7 @@
   Builder *b = context;
   if (b->text != NULL) {
     g_autoptr (GString) text = g_steal_pointer (&b->text);
-    builder_text (b, (const guint8 *)text->str, text->len);
+    builder_text (b, (const guint8 *) text->str, text->len);
   } else if (b->depth == 0 || b->stack[b->depth - 1].left != G_MAXUINT64 || b->stack[b->depth - 1].key != NULL) {
     b->failed = TRUE;
   } else {
@@ -235,7 +235,7 @@
 append_text (GByteArray *out, const char *text, size_t size)
 {
   append_head (out, cbor_encode_string_start, size);
-  g_byte_array_append (out, (const guint8 *)text, size);
+  g_byte_array_append (out, (const guint8 *) text, size);
 }
 
 static void
@@ -248,7 +248,7 @@
     const char *key;
     json_t *item;
     append_head (out, cbor_encode_map_start, json_object_size (value));
-    json_object_foreach ((json_t *)value, key, item)
+    json_object_foreach ((json_t *) value, key, item)
     {
       append_text (out, key, strlen (key));
       append_value (out, item);
@@ -265,8 +265,8 @@
     return;
   case JSON_INTEGER: {
     json_int_t v = json_integer_value (value);
-    n = v < 0 ? cbor_encode_negint ((guint64)(-1 - v), head, sizeof head)
-              : cbor_encode_uint ((guint64)v, head, sizeof head);
+    n = v < 0 ? cbor_encode_negint ((guint64) (-1 - v), head, sizeof head)
+              : cbor_encode_uint ((guint64) v, head, sizeof head);
     break;
   }
   case JSON_REAL:
--- a/src/wire/cloud.c
+++ b/src/wire/cloud.c
@@ -49,7 +49,7 @@
 ft_cloud_rent_body (const FtCloudCall *call)
 {
   return json_pack ("{s:s, s:s, s:s, s:b, s:i}", "booking", call->booking, "build", call->type, "yard", call->zone,
-                    "loaners", call->spot, "how_many", (int)call->count);
+                    "loaners", call->spot, "how_many", (int) call->count);
 }
 
 json_t *
--- a/src/wire/fields.c
+++ b/src/wire/fields.c
@@ -48,7 +48,7 @@
   const json_t *item = json_object_get (map, name);
   if (!json_is_integer (item) || json_integer_value (item) < 0)
     return FALSE;
-  guint64 value = (guint64)json_integer_value (item);
+  guint64 value = (guint64) json_integer_value (item);
   if (value < least || value > most)
     return FALSE;
   *out = value;
@@ -93,6 +93,6 @@
   }
   g_ptr_array_add (texts, NULL);
   g_strfreev (*out);
-  *out = (GStrv)g_ptr_array_free (g_steal_pointer (&texts), FALSE);
+  *out = (GStrv) g_ptr_array_free (g_steal_pointer (&texts), FALSE);
   return TRUE;
 }
--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -27,7 +27,7 @@
   const char *name = json_string_value (json_object_get (body, "urgency"));
   for (guint i = 0; name != NULL && i < G_N_ELEMENTS (names); i++)
     if (strcmp (name, names[i]) == 0) {
-      *priority = (FtPriority)i;
+      *priority = (FtPriority) i;
       return TRUE;
     }
   return FALSE;
@@ -40,7 +40,7 @@
   const char *name = json_string_value (json_object_get (body, "shape"));
   for (guint i = 0; name != NULL && i < G_N_ELEMENTS (names); i++)
     if (strcmp (name, names[i]) == 0) {
-      *kind = (FtJobKind)i;
+      *kind = (FtJobKind) i;
       return TRUE;
     }
   return FALSE;
@@ -80,7 +80,7 @@
       || !ft_field_bool (body, "one_zone", &spec->one_zone) || !ft_field_bool (body, "apart", &spec->spread)
       || !ft_field_bool (body, "loaners", &spec->spot))
     return NULL;
-  spec->tasks = (guint)tasks;
+  spec->tasks = (guint) tasks;
   return g_steal_pointer (&spec);
 }
 
@@ -90,8 +90,8 @@
   const char *standing = strcmp (state, "cancelled") == 0 ? "withdrawn" : state;
   if (!counts)
     return json_pack ("{s:s, s:s}", "ref", ref, "standing", standing);
-  return json_pack ("{s:s, s:s, s:i, s:i}", "ref", ref, "standing", standing, "done", (int)done, "running",
-                    (int)running);
+  return json_pack ("{s:s, s:s, s:i, s:i}", "ref", ref, "standing", standing, "done", (int) done, "running",
+                    (int) running);
 }
 
 /* "req-000412/3" */
@@ -103,11 +103,11 @@
   guint64 index;
   if (slash == NULL || !g_ascii_string_to_unsigned (slash + 1, 10, 0, FT_JOB_TASKS_MOST, &index, NULL))
     return FALSE;
-  g_autofree char *job = g_strndup (name, (gsize)(slash - name));
+  g_autofree char *job = g_strndup (name, (gsize) (slash - name));
   if (!ft_ref_valid (job))
     return FALSE;
   task->job = g_steal_pointer (&job);
-  task->index = (guint)index;
+  task->index = (guint) index;
   return TRUE;
 }
 
@@ -124,14 +124,14 @@
     ;
   if (i == G_N_ELEMENTS (states))
     return FALSE;
-  task->state = (FtReportedState)i;
+  task->state = (FtReportedState) i;
   if (task->state != FT_REPORTED_EXITED)
     return TRUE;
   /* A cause we do not know is a failure like any other. */
   task->why = FT_WHY_ERROR;
   for (i = 1; i < G_N_ELEMENTS (causes); i++)
     if (g_strcmp0 (cause, causes[i]) == 0)
-      task->why = (FtWhy)i;
+      task->why = (FtWhy) i;
   return TRUE;
 }
 
@@ -178,7 +178,7 @@
   for (guint i = 0; commands != NULL && i < commands->len; i++) {
     const FtCommand *c = &g_array_index (commands, FtCommand, i);
     g_autofree char *task = g_strdup_printf ("%s/%u", c->job, c->index);
-    json_t *item = json_pack ("{s:s, s:s, s:I}", "verb", verbs[c->op], "piece", task, "try", (json_int_t)c->attempt);
+    json_t *item = json_pack ("{s:s, s:s, s:I}", "verb", verbs[c->op], "piece", task, "try", (json_int_t) c->attempt);
     if (c->op == FT_COMMAND_STOP)
       json_object_set_new (item, "leeway_s", json_real (c->grace_s));
     json_array_append_new (list, item);
@@ -189,7 +189,7 @@
 json_t *
 ft_message_answer (guint64 token, const GArray *commands)
 {
-  return json_pack ("{s:I, s:o}", "baton", (json_int_t)token, "orders", command_list (commands));
+  return json_pack ("{s:I, s:o}", "baton", (json_int_t) token, "orders", command_list (commands));
 }
 
 json_t *
@@ -201,6 +201,6 @@
 json_t *
 ft_message_commands (guint64 token, guint64 session, const GArray *commands)
 {
-  return json_pack ("{s:I, s:I, s:o}", "baton", (json_int_t)token, "shift", (json_int_t)session, "orders",
+  return json_pack ("{s:I, s:I, s:o}", "baton", (json_int_t) token, "shift", (json_int_t) session, "orders",
                     command_list (commands));
 }
--- a/src/wire/store.c
+++ b/src/wire/store.c
@@ -16,7 +16,8 @@
 void
 ft_txn_if (json_t *txn, const char *key, guint64 stamp)
 {
-  json_array_append_new (json_object_get (txn, "if"), json_pack ("{s:s, s:I}", "key", key, "stamp", (json_int_t)stamp));
+  json_array_append_new (json_object_get (txn, "if"),
+                         json_pack ("{s:s, s:I}", "key", key, "stamp", (json_int_t) stamp));
 }
 
 void
@@ -58,7 +59,7 @@
 gboolean
 ft_store_row (const json_t *body, FtRow *row)
 {
-  return read_row ((json_t *)body, "key", row) && row->value != NULL;
+  return read_row ((json_t *) body, "key", row) && row->value != NULL;
 }
 
 GArray *
@@ -146,8 +147,8 @@
   if (!g_str_has_prefix (key, FT_PREFIX_DONE) || slash == key + 1
       || !g_ascii_string_to_unsigned (slash + 1, 10, 0, FT_JOB_TASKS_MOST, &number, NULL))
     return FALSE;
-  *ref = g_strndup (key + 2, (gsize)(slash - key - 2));
-  *chunk = (guint)number;
+  *ref = g_strndup (key + 2, (gsize) (slash - key - 2));
+  *chunk = (guint) number;
   return TRUE;
 }
 
@@ -156,21 +157,21 @@
 json_t *
 ft_row_fence (guint64 token, const char *holder, guint64 incarnation)
 {
-  return json_pack ("{s:I, s:s, s:I}", "token", (json_int_t)token, "holder", holder, "incarnation",
-                    (json_int_t)incarnation);
+  return json_pack ("{s:I, s:s, s:I}", "token", (json_int_t) token, "holder", holder, "incarnation",
+                    (json_int_t) incarnation);
 }
 
 json_t *
 ft_row_renewal (guint64 token, gint64 lease_us, gboolean released)
 {
-  return json_pack ("{s:I, s:I, s:b}", "token", (json_int_t)token, "lease_ms", (json_int_t)(lease_us / 1000),
+  return json_pack ("{s:I, s:I, s:b}", "token", (json_int_t) token, "lease_ms", (json_int_t) (lease_us / 1000),
                     "released", released);
 }
 
 json_t *
 ft_row_journal (guint64 token, guint64 batch)
 {
-  return json_pack ("{s:I, s:I}", "token", (json_int_t)token, "batch", (json_int_t)batch);
+  return json_pack ("{s:I, s:I}", "token", (json_int_t) token, "batch", (json_int_t) batch);
 }
 
 gboolean
@@ -188,7 +189,7 @@
       out->renewal_stamp = row->stamp;
       guint64 lease_ms = 0;
       ft_field_count (row->value, "lease_ms", 0, G_MAXINT32, &lease_ms);
-      out->lease_us = (gint64)lease_ms * 1000;
+      out->lease_us = (gint64) lease_ms * 1000;
       out->released = json_is_true (json_object_get (row->value, "released"));
     }
   }
@@ -198,7 +199,7 @@
 json_t *
 ft_row_job (const char *state, guint tasks)
 {
-  return json_pack ("{s:s, s:i}", "state", state, "tasks", (int)tasks);
+  return json_pack ("{s:s, s:i}", "state", state, "tasks", (int) tasks);
 }
 
 const char *
@@ -206,7 +207,7 @@
 {
   static const char *const states[] = { "open", "done", "cancelled" };
   const char *state = json_string_value (json_object_get (value, "state"));
-  *tasks = (guint)json_integer_value (json_object_get (value, "tasks"));
+  *tasks = (guint) json_integer_value (json_object_get (value, "tasks"));
   for (guint i = 0; i < G_N_ELEMENTS (states); i++)
     if (g_strcmp0 (state, states[i]) == 0)
       return states[i];
@@ -229,11 +230,11 @@
 {
   return json_pack (
       "{s:s, s:s, s:i, s:i, s:i, s:f, s:f, s:f, s:s, s:f, s:o, s:s?, s:b, s:b, s:b, s:f, s:f, s:f, s:f, s:I}", "class",
-      spec->job_class, "team", spec->team, "kind", (int)spec->kind, "priority", (int)spec->priority, "tasks",
-      (int)spec->tasks, "cpus", spec->cpus, "gpus", spec->gpus, "memory_gb", spec->memory_gb, "image", spec->image,
+      spec->job_class, "team", spec->team, "kind", (int) spec->kind, "priority", (int) spec->priority, "tasks",
+      (int) spec->tasks, "cpus", spec->cpus, "gpus", spec->gpus, "memory_gb", spec->memory_gb, "image", spec->image,
       "image_gb", spec->image_gb, "types", text_list (spec->types), "zone", spec->zone, "one_zone", spec->one_zone,
       "spread", spec->spread, "spot", spec->spot, "estimate_s", spec->estimate_s, "checkpoint_s", spec->checkpoint_s,
-      "save_s", spec->save_s, "deadline_s", spec->deadline_s, "submitted_ms", (json_int_t)spec->submitted_wall_ms);
+      "save_s", spec->save_s, "deadline_s", spec->deadline_s, "submitted_ms", (json_int_t) spec->submitted_wall_ms);
 }
 
 static gboolean
@@ -274,10 +275,10 @@
       || !ft_field_bool (v, "one_zone", &spec->one_zone) || !ft_field_bool (v, "spread", &spec->spread)
       || !ft_field_bool (v, "spot", &spec->spot) || !ft_field_count (v, "submitted_ms", 0, G_MAXINT64, &submitted))
     return NULL;
-  spec->kind = (FtJobKind)kind;
-  spec->priority = (FtPriority)priority;
-  spec->tasks = (guint)tasks;
-  spec->submitted_wall_ms = (gint64)submitted;
+  spec->kind = (FtJobKind) kind;
+  spec->priority = (FtPriority) priority;
+  spec->tasks = (guint) tasks;
+  spec->submitted_wall_ms = (gint64) submitted;
   return g_steal_pointer (&spec);
 }
 
@@ -335,7 +336,7 @@
 ft_setting_value (const FtTuning *tuning, const FtTuningInfo *info)
 {
   double value = ft_tuning_get (tuning, info);
-  return info->choices != NULL ? json_string (info->choices[(guint)value]) : json_real (value);
+  return info->choices != NULL ? json_string (info->choices[(guint) value]) : json_real (value);
 }
 
 void
@@ -344,7 +345,7 @@
   const char *name;
   json_t *item;
   ft_tuning_defaults (tuning);
-  json_object_foreach ((json_t *)value, name, item)
+  json_object_foreach ((json_t *) value, name, item)
   {
     const FtTuningInfo *info = ft_tuning_find (name);
     double number;
--- a/tests/sim/node.cpp
+++ b/tests/sim/node.cpp
@@ -18,11 +18,11 @@
   life_++;
   alive = true;
   rate_ = world_.uniform (0.9995, 1.0005);
-  offset_ = (Time)(world_.uniform (1, 5000) * kSecond);
+  offset_ = (Time) (world_.uniform (1, 5000) * kSecond);
   const FtSettings &s = world_.settings;
   hold_ = ft_tuning_hold (&s);
-  lease_.reset (ft_lease_new (name ().c_str (), life_ * 10 + (guint64)index_ + 1, (gint64)(FT_LEASE_S * kSecond),
-                              (gint64)(FT_SWEEP_S * kSecond), hold_, (guint32)world_.below (1 << 30)));
+  lease_.reset (ft_lease_new (name ().c_str (), life_ * 10 + (guint64) index_ + 1, (gint64) (FT_LEASE_S * kSecond),
+                              (gint64) (FT_SWEEP_S * kSecond), hold_, (guint32) world_.below (1 << 30)));
   sweeping_ = renewing_ = batching_ = watching_ = cloud_busy_ = false;
   tick ();
 }
@@ -54,11 +54,11 @@
     reply (status, body.get ());
   };
   world_.deliver (name (), "store", [this, what, finish] {
-    std::pair<guint, json_t *> answer = world_.store.down ? std::make_pair (503u, (json_t *)nullptr) : what ();
+    std::pair<guint, json_t *> answer = world_.store.down ? std::make_pair (503u, (json_t *) nullptr) : what ();
     std::shared_ptr<json_t> body (answer.second, json_decref);
     world_.deliver ("store", name (), [finish, answer, body] { finish (answer.first, body); });
   });
-  world_.after ((Time)(FT_STATE_TIMEOUT_S * kSecond), [finish] { finish (0, nullptr); });
+  world_.after ((Time) (FT_STATE_TIMEOUT_S * kSecond), [finish] { finish (0, nullptr); });
 }
 
 void
@@ -134,7 +134,7 @@
   Time now = clock ();
   term_++;
   scheduler_.reset (ft_scheduler_new (&world_.settings, world_.catalog, ft_lease_token (lease_.get ()), hold_, now,
-                                      (guint32)world_.below (1 << 30)));
+                                      (guint32) world_.below (1 << 30)));
   journal_stamp_ = stamp;
   batch_ = 0;
   batching_ = renewing_ = watching_ = cloud_busy_ = false;
@@ -281,12 +281,12 @@
           resolve_batch (writes, batch);
           return;
         }
-        if ((guint64)json_integer_value (json_object_get (row.value, "token")) != ft_lease_token (lease_.get ())) {
+        if ((guint64) json_integer_value (json_object_get (row.value, "token")) != ft_lease_token (lease_.get ())) {
           step_down ();
           return;
         }
         journal_stamp_ = row.stamp;
-        batch_done (writes, (guint64)json_integer_value (json_object_get (row.value, "batch")) == batch, nullptr);
+        batch_done (writes, (guint64) json_integer_value (json_object_get (row.value, "batch")) == batch, nullptr);
       });
 }
 
@@ -306,7 +306,7 @@
   ft_txn_if (txn, FT_KEY_JOURNAL, journal_stamp_);
   ft_txn_put (txn, FT_KEY_JOURNAL, ft_row_journal (ft_lease_token (lease_.get ()), batch));
   for (guint i = 0; i < writes->len; i++)
-    ft_txn_add_write (txn, (const FtWrite *)g_ptr_array_index (writes.get (), i));
+    ft_txn_add_write (txn, (const FtWrite *) g_ptr_array_index (writes.get (), i));
   commit (txn, [this, writes, batch, term] (guint status, const json_t *body) {
     if (term != term_)
       return;
@@ -364,7 +364,7 @@
       guint code = status;
       world_.deliver (direct->machine, name (), [finish, code, shared] { finish (code, shared); });
     });
-    world_.after ((Time)(FT_COMMAND_TIMEOUT_S * kSecond), [finish] { finish (0, nullptr); });
+    world_.after ((Time) (FT_COMMAND_TIMEOUT_S * kSecond), [finish] { finish (0, nullptr); });
   }
 }
 
@@ -392,19 +392,19 @@
     FtCloudResult result = FT_CLOUD_OK;
     if (call->op == FT_CLOUD_RETURN) {
       for (guint i = 0; i < call->names->len; i++) {
-        auto it = world_.machines.find ((const char *)g_ptr_array_index (call->names, i));
+        auto it = world_.machines.find ((const char *) g_ptr_array_index (call->names, i));
         if (it != world_.machines.end ())
           it->second->die ();
       }
     } else {
       auto &names = world_.bookings[call->booking];
-      for (guint i = 0; names.size () < call->count && i < call->count && world_.machine_count < 14; i++) {
+      for (guint i = 0; names.size () < call->count && i < call->count && world_.alive_machines () < 14; i++) {
         char text[16];
         g_snprintf (text, sizeof text, "n-%06u", world_.machine_count++);
         auto worker = std::make_shared<Worker> (world_, text, call->zone, call->spot);
         world_.machines[text] = worker;
         names.push_back (text);
-        world_.after ((Time)(world_.uniform (2, 12) * kSecond), [worker] {
+        world_.after ((Time) (world_.uniform (2, 12) * kSecond), [worker] {
           if (worker->alive)
             worker->boot ();
         });
@@ -445,7 +445,7 @@
     g_array_append_val (list.get (), entry);
   }
   // The list is as old as its lag when it comes.
-  world_.after ((Time)(world_.uniform (0.5, 2) * world_.settings.list_lag_s * kSecond), [this, term, list] {
+  world_.after ((Time) (world_.uniform (0.5, 2) * world_.settings.list_lag_s * kSecond), [this, term, list] {
     if (term == term_ && scheduler_)
       ft_scheduler_listed (scheduler_.get (), list.get (), clock ());
   });
@@ -498,14 +498,14 @@
   checker->submitted (ref, job);
   run_s[ref] = run;
   FtJobSpec spec{};
-  spec.ref = (char *)ref.c_str ();
-  spec.job_class = (char *)"sim";
-  spec.team = (char *)team.c_str ();
+  spec.ref = (char *) ref.c_str ();
+  spec.job_class = (char *) "sim";
+  spec.team = (char *) team.c_str ();
   spec.priority = chance (0.4) ? FT_PRIORITY_HIGH : FT_PRIORITY_NORMAL;
   spec.tasks = tasks;
   spec.cpus = cpus;
   spec.memory_gb = 2;
-  spec.image = (char *)(chance (0.5) ? "img-1" : "img-2");
+  spec.image = (char *) (chance (0.5) ? "img-1" : "img-2");
   spec.image_gb = 1;
   spec.one_zone = one_zone;
   spec.spread = spread;
@@ -570,7 +570,7 @@
     ft_txn_put (txn, key, ft_row_job ("cancelled", tasks));
     ft_txn_put (txn, mark, json_object ());
     auto [code, answer] = store.commit (txn);
-    (void)code;
+    (void) code;
     json_decref (answer);
     json_decref (txn);
   }
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -25,11 +25,11 @@
     const char *key = json_string_value (json_object_get (item, "key"));
     auto row = rows_.find (key);
     guint64 stamp = row == rows_.end () ? 0 : row->second.stamp;
-    if (stamp != (guint64)json_integer_value (json_object_get (item, "stamp")))
+    if (stamp != (guint64) json_integer_value (json_object_get (item, "stamp")))
       json_array_append_new (failed, json_string (key));
   }
   if (json_array_size (failed) > 0)
-    return { 409, json_pack ("{s:o, s:I}", "failed", failed, "ledger", (json_int_t)revision) };
+    return { 409, json_pack ("{s:o, s:I}", "failed", failed, "ledger", (json_int_t) revision) };
   json_decref (failed);
   if (json_array_size (json_object_get (txn, "apply")) > 0)
     revision++;
@@ -50,7 +50,7 @@
       rows_[key] = { value, revision };
     log_.push_back ({ key, value ? json_incref (value) : nullptr, revision });
   }
-  return { 200, json_pack ("{s:I}", "ledger", (json_int_t)revision) };
+  return { 200, json_pack ("{s:I}", "ledger", (json_int_t) revision) };
 }
 
 std::pair<guint, json_t *>
@@ -58,9 +58,9 @@
 {
   auto row = rows_.find (key);
   if (row == rows_.end ())
-    return { 404, json_pack ("{s:I}", "ledger", (json_int_t)revision) };
+    return { 404, json_pack ("{s:I}", "ledger", (json_int_t) revision) };
   return { 200, json_pack ("{s:s, s:O, s:I}", "key", key.c_str (), "data", row->second.value, "stamp",
-                           (json_int_t)row->second.stamp) };
+                           (json_int_t) row->second.stamp) };
 }
 
 std::pair<guint, json_t *>
@@ -70,9 +70,9 @@
   auto row = after.empty () ? rows_.lower_bound (prefix) : rows_.upper_bound (after);
   for (; row != rows_.end () && row->first.rfind (prefix, 0) == 0 && json_array_size (items) < limit; ++row)
     json_array_append_new (items, json_pack ("{s:s, s:O, s:I}", "key", row->first.c_str (), "data", row->second.value,
-                                             "stamp", (json_int_t)row->second.stamp));
+                                             "stamp", (json_int_t) row->second.stamp));
   bool more = row != rows_.end () && row->first.rfind (prefix, 0) == 0;
-  return { 200, json_pack ("{s:o, s:b, s:I}", "pairs", items, "more", more, "ledger", (json_int_t)revision) };
+  return { 200, json_pack ("{s:o, s:b, s:I}", "pairs", items, "more", more, "ledger", (json_int_t) revision) };
 }
 
 bool
@@ -90,12 +90,12 @@
     if (e.stamp <= since || e.key.rfind (prefix, 0) != 0)
       continue;
     json_t *event
-        = json_pack ("{s:s, s:I}", e.value ? "write" : "delete", e.key.c_str (), "stamp", (json_int_t)e.stamp);
+        = json_pack ("{s:s, s:I}", e.value ? "write" : "delete", e.key.c_str (), "stamp", (json_int_t) e.stamp);
     if (e.value)
       json_object_set (event, "data", e.value);
     json_array_append_new (events, event);
   }
-  return { 200, json_pack ("{s:o, s:I}", "events", events, "ledger", (json_int_t)revision) };
+  return { 200, json_pack ("{s:o, s:I}", "events", events, "ledger", (json_int_t) revision) };
 }
 
 // ---- worker ----
@@ -187,7 +187,7 @@
     task.state = FT_REPORTED_EXITED;
     task.why = FT_WHY_NO_ROOM;
   }
-  task.at = world_.now + (Time)(world_.uniform (0.1, 1.5) * kSecond);
+  task.at = world_.now + (Time) (world_.uniform (0.1, 1.5) * kSecond);
   tasks_.push_back (task);
   changed ();
 }
@@ -230,7 +230,7 @@
       bool kept = world_.results.count (task_name (t)) > 0;
       t.state = FT_REPORTED_RUNNING;
       world_.checker->on (world_.now, t.job, t.index, { name, zone, spot });
-      t.at = world_.now + (Time)((kept ? 0 : world_.run_s[t.job] * world_.uniform (0.5, 1.5)) * kSecond);
+      t.at = world_.now + (Time) ((kept ? 0 : world_.run_s[t.job] * world_.uniform (0.5, 1.5)) * kSecond);
       changed ();
     }
     if (t.state == FT_REPORTED_RUNNING && world_.now >= t.at) {
@@ -247,7 +247,7 @@
 void
 Worker::check_lease ()
 {
-  Time lease = (Time)(world_.settings.lease_s * kSecond * rate_);
+  Time lease = (Time) (world_.settings.lease_s * kSecond * rate_);
   if (world_.now <= last_sent_ok_ + lease)
     return;
   for (TaskOn &t : tasks_)
@@ -290,7 +290,7 @@
   in_flight_ = true;
   change_ = false;
   last_report_ = world_.now;
-  next_report_ = world_.now + (Time)(world_.settings.report_s * world_.uniform (0.75, 1.25) * kSecond);
+  next_report_ = world_.now + (Time) (world_.settings.report_s * world_.uniform (0.75, 1.25) * kSecond);
   std::shared_ptr<FtReport> r (report (), ft_report_free);
   Time sent = world_.now;
   auto done = std::make_shared<bool> (false);
@@ -365,7 +365,7 @@
   type->zones = g_strsplit ("a b", " ", 0);
   g_ptr_array_add (catalog->types, type);
   checker = std::make_unique<Checker> (std::map<std::string, double>{ { "red", 48 }, { "blue", 32 } },
-                                       (Time)(settings.cancel_s * kSecond));
+                                       (Time) (settings.cancel_s * kSecond));
   for (int i = 0; i < 3; i++)
     nodes.push_back (std::make_unique<Node> (*this, i));
 }
@@ -389,6 +389,15 @@
   events_.push ({ std::max (when, now), order_++, std::move (what) });
 }
 
+guint
+World::alive_machines () const
+{
+  guint n = 0;
+  for (const auto &[name, worker] : machines)
+    n += worker->alive;
+  return n;
+}
+
 void
 World::run_until (Time end)
 {
@@ -407,9 +416,9 @@
 {
   if (chance (loss))
     return;
-  Time delay = (Time)(uniform (0.001, 0.02) * kSecond);
+  Time delay = (Time) (uniform (0.001, 0.02) * kSecond);
   if (chance (late))
-    delay = (Time)(uniform (1, 25) * kSecond);
+    delay = (Time) (uniform (1, 25) * kSecond);
   auto cut = cuts.find ({ from, to });
   if (cut != cuts.end () && cut->second > now) {
     if (chance (0.5))
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -241,7 +241,8 @@
   std::vector<std::unique_ptr<Node> > nodes;
   std::unique_ptr<Checker> checker;
   std::set<std::string> failing; // machines on which every task fails
-  guint machine_count = 0;
+  guint machine_count = 0;       // ever rented
+  guint alive_machines () const;
 
 private:
   struct Event {
@@ -310,7 +311,7 @@
   Time
   clock () const
   {
-    return offset_ + (Time)(world_.now * rate_);
+    return offset_ + (Time) (world_.now * rate_);
   }
   void tick ();
   void lease_tick ();
--- a/tests/test_fuzz.cpp
+++ b/tests/test_fuzz.cpp
@@ -128,22 +128,22 @@
 {
   int times = g_rand_int_range (random, 1, 5);
   for (int i = 0; i < times && !bytes.empty (); i++) {
-    size_t at = (size_t)g_rand_int_range (random, 0, (gint32)bytes.size ());
+    size_t at = (size_t) g_rand_int_range (random, 0, (gint32) bytes.size ());
     switch (g_rand_int_range (random, 0, 5)) {
     case 0:
-      bytes[at] = (guint8)g_rand_int (random);
+      bytes[at] = (guint8) g_rand_int (random);
       break;
     case 1:
-      bytes.erase (bytes.begin () + (long)at);
+      bytes.erase (bytes.begin () + (long) at);
       break;
     case 2:
-      bytes.insert (bytes.begin () + (long)at, (guint8)g_rand_int (random));
+      bytes.insert (bytes.begin () + (long) at, (guint8) g_rand_int (random));
       break;
     case 3:
       bytes.resize (at);
       break;
     case 4:
-      bytes[at] ^= (guint8)(1u << g_rand_int_range (random, 0, 8));
+      bytes[at] ^= (guint8) (1u << g_rand_int_range (random, 0, 8));
       break;
     }
   }
@@ -155,12 +155,12 @@
 {
   static const char *const wrong[] = { "null", "-1", "1e300", "\"\"", "[]", "{}", "true", "9007199254740993", "\"x\"" };
   if (json_is_array (node) && json_array_size (node) > 0) {
-    mutate_tree (random, json_array_get (node, (size_t)g_rand_int_range (random, 0, (gint32)json_array_size (node))));
+    mutate_tree (random, json_array_get (node, (size_t) g_rand_int_range (random, 0, (gint32) json_array_size (node))));
     return;
   }
   if (!json_is_object (node) || json_object_size (node) == 0)
     return;
-  int chosen = g_rand_int_range (random, 0, (gint32)json_object_size (node));
+  int chosen = g_rand_int_range (random, 0, (gint32) json_object_size (node));
   void *it = json_object_iter (node);
   while (chosen-- > 0)
     it = json_object_iter_next (node, it);
@@ -181,7 +181,7 @@
   ASSERT_NE (seed, nullptr);
   GBytes *encoded = ft_cbor_encode (seed);
   gsize size;
-  auto data = (const guint8 *)g_bytes_get_data (encoded, &size);
+  auto data = (const guint8 *) g_bytes_get_data (encoded, &size);
   int decoded = 0;
   for (int i = 0; i < kRounds; i++) {
     std::vector<guint8> bytes (data, data + size);
@@ -215,7 +215,7 @@
     std::vector<guint8> bytes (seed.begin (), seed.end ());
     mutate (random, bytes);
     g_autoptr (GError) error = nullptr;
-    g_autoptr (FtConfig) config = ft_config_parse ((const char *)bytes.data (), bytes.size (), &error);
+    g_autoptr (FtConfig) config = ft_config_parse ((const char *) bytes.data (), bytes.size (), &error);
     EXPECT_TRUE ((config == nullptr) != (error == nullptr));
   }
 }
--- a/tests/test_program.cpp
+++ b/tests/test_program.cpp
@@ -61,9 +61,9 @@
 void
 on_reply (guint status, const json_t *body, gpointer data)
 {
-  auto reply = (Reply *)data;
+  auto reply = (Reply *) data;
   reply->status = status;
-  reply->body = json_incref ((json_t *)body);
+  reply->body = json_incref ((json_t *) body);
   reply->done = true;
 }
 
@@ -98,7 +98,7 @@
   argument (FtHttpRequest *r, const char *name)
   {
     g_autoptr (GHashTable) all = g_uri_parse_params (ft_http_query (r), -1, "&", G_URI_PARAMS_NONE, nullptr);
-    auto value = all ? (const char *)g_hash_table_lookup (all, name) : nullptr;
+    auto value = all ? (const char *) g_hash_table_lookup (all, name) : nullptr;
     return value ? value : "";
   }
   struct Follow {
@@ -111,7 +111,7 @@
   static gboolean
   follow (gpointer data)
   {
-    auto f = (Follow *)data;
+    auto f = (Follow *) data;
     if (!f->self->store.changed (f->prefix, f->since) && g_get_monotonic_time () < f->end)
       return G_SOURCE_CONTINUE;
     auto [status, body] = f->self->store.follow (f->prefix, f->since);
@@ -122,7 +122,7 @@
   static void
   on_state (FtHttpRequest *r, gpointer data)
   {
-    auto self = (Services *)data;
+    auto self = (Services *) data;
     std::string path = ft_http_path (r);
     std::pair<guint, json_t *> answer = { 404, nullptr };
     if (self->down) {
@@ -204,8 +204,8 @@
       json_array_append_new (list, item);
     }
     return json_pack ("{s:s,s:s,s:s,s:s,s:b,s:i,s:I,s:I,s:n,s:o}", "hearth", "n-000001", "address", addr.c_str (),
-                      "build", "std", "yard", "a", "loaners", 0, "shift", 1, "tally", (json_int_t)++sequence, "baton",
-                      (json_int_t)token, "recall_s", "pieces", list);
+                      "build", "std", "yard", "a", "loaners", 0, "shift", 1, "tally", (json_int_t) ++sequence, "baton",
+                      (json_int_t) token, "recall_s", "pieces", list);
   }
   void
   execute (const json_t *orders)
@@ -233,9 +233,9 @@
   static void
   on_request (FtHttpRequest *r, gpointer data)
   {
-    auto self = (Machine *)data;
+    auto self = (Machine *) data;
     const json_t *body = ft_http_body (r);
-    auto baton = (guint64)json_integer_value (json_object_get (body, "baton"));
+    auto baton = (guint64) json_integer_value (json_object_get (body, "baton"));
     bool ok = baton >= self->token && json_integer_value (json_object_get (body, "shift")) == 1;
     if (ok) {
       self->token = baton;
@@ -246,9 +246,9 @@
   static void
   on_answer (guint status, const json_t *body, gpointer data)
   {
-    auto self = (Machine *)data;
+    auto self = (Machine *) data;
     self->waiting = false;
-    auto baton = (guint64)json_integer_value (json_object_get (body, "baton"));
+    auto baton = (guint64) json_integer_value (json_object_get (body, "baton"));
     if (status == 200 && baton >= self->token) {
       self->token = baton;
       self->execute (json_object_get (body, "orders"));
@@ -259,7 +259,7 @@
   static gboolean
   on_timer (gpointer data)
   {
-    auto self = (Machine *)data;
+    auto self = (Machine *) data;
     for (Task &t : self->tasks)
       if (t.state == "running" && --t.left <= 0) {
         t.state = "exited";
@@ -355,13 +355,13 @@
     argv.push_back (a.c_str ());
   argv.push_back (nullptr);
   GSubprocess *p = g_subprocess_newv (
-      argv.data (), (GSubprocessFlags)(G_SUBPROCESS_FLAGS_STDOUT_PIPE | G_SUBPROCESS_FLAGS_STDERR_MERGE), nullptr);
+      argv.data (), (GSubprocessFlags) (G_SUBPROCESS_FLAGS_STDOUT_PIPE | G_SUBPROCESS_FLAGS_STDERR_MERGE), nullptr);
   struct Out {
     bool done = false;
     char *text = nullptr;
   } out;
   auto on_out = [] (GObject *source, GAsyncResult *result, gpointer data) {
-    auto o = (Out *)data;
+    auto o = (Out *) data;
     g_subprocess_communicate_utf8_finish (G_SUBPROCESS (source), result, &o->text, nullptr, nullptr);
     o->done = true;
   };
--- a/tests/test_random_runs.cpp
+++ b/tests/test_random_runs.cpp
@@ -26,8 +26,8 @@
     for (int i = 0; i < 26; i++) {
       std::string ref = "req-" + std::to_string (100000 + world.below (800000) * 10 + i % 10);
       refs.push_back (ref);
-      Time when = (Time)(world.uniform (1, 140) * kSecond);
-      guint tasks = (guint)world.below (9) + 1;
+      Time when = (Time) (world.uniform (1, 140) * kSecond);
+      guint tasks = (guint) world.below (9) + 1;
       double cpus = 1 + world.below (4), run = world.uniform (3, 40);
       std::string team = world.chance (0.6) ? "red" : "blue";
       bool zone = world.chance (0.15), spread = !zone && world.chance (0.2), spot = world.chance (0.7);
@@ -35,7 +35,7 @@
         world.submit (ref, tasks, cpus, run, team, zone, spread, spot);
       });
       if (world.chance (0.25))
-        world.at (when + (Time)(world.uniform (1, 40) * kSecond), [this, ref] { world.withdraw (ref); });
+        world.at (when + (Time) (world.uniform (1, 40) * kSecond), [this, ref] { world.withdraw (ref); });
       for (Time t = when + 5 * kSecond; t < kLength; t += 7 * kSecond)
         world.at (t, [this, ref] { world.poll (ref); });
     }
@@ -44,13 +44,13 @@
   void
   crash (Time when, int node)
   {
-    world.at (when, [this, node] { world.nodes[node]->crash ((Time)(world.uniform (0.3, 6) * kSecond)); });
+    world.at (when, [this, node] { world.nodes[node]->crash ((Time) (world.uniform (0.3, 6) * kSecond)); });
   }
   std::shared_ptr<Worker>
   any_machine ()
   {
     auto it = world.machines.begin ();
-    std::advance (it, world.below ((int)world.machines.size ()));
+    std::advance (it, world.below ((int) world.machines.size ()));
     return it->second;
   }
   void
@@ -64,7 +64,7 @@
       if (roll < 0.4)
         m->die ();
       else if (roll < 0.8)
-        m->hang (world.now + (Time)(world.uniform (3, 40) * kSecond));
+        m->hang (world.now + (Time) (world.uniform (3, 40) * kSecond));
       else
         world.failing.insert (m->name);
     });
@@ -73,7 +73,7 @@
   cut_node (Time when, int node, bool from_store)
   {
     world.at (when, [this, node, from_store] {
-      Time until = world.now + (Time)(world.uniform (5, 40) * kSecond);
+      Time until = world.now + (Time) (world.uniform (5, 40) * kSecond);
       std::string name = "node-" + std::to_string (node);
       if (from_store)
         world.cut (name, "store", until);
@@ -89,6 +89,28 @@
     world.at (when, [this] { world.store.down = true; });
     world.at (when + length, [this] { world.store.down = false; });
   }
+  // What the leader makes of a job, for the message of a failure.
+  std::string
+  seen_by_leader (const std::string &ref)
+  {
+    std::string text = "no leader";
+    std::pair<std::string, std::string *> sought = { ref, &text };
+    for (auto &node : world.nodes)
+      if (node->alive && node->leads ()) {
+        text = node->name () + " does not know it";
+        ft_scheduler_each_job (
+            node->scheduler (),
+            [] (const char *name, const char *, const char *state, guint, guint done, guint running, const char *waits,
+                gpointer data) {
+              auto wanted = (std::pair<std::string, std::string *> *) data;
+              if (wanted->first == name)
+                *wanted->second = std::string (state) + ", " + std::to_string (done) + " done, "
+                                  + std::to_string (running) + " running, waits for: " + waits;
+            },
+            &sought);
+      }
+    return text;
+  }
   void
   finish ()
   {
@@ -100,7 +122,8 @@
     for (const auto &[ref, job] : world.checker->jobs ())
       if (job.final_told.empty () && job.accepted) {
         open++;
-        ADD_FAILURE () << ref << " of " << job.team << ": " << job.done.size () << " of " << job.tasks << " tasks done";
+        ADD_FAILURE () << ref << " of " << job.team << ": " << job.done.size () << " of " << job.tasks
+                       << " tasks done; " << seen_by_leader (ref);
       }
     EXPECT_EQ (open, 0) << "jobs neither done nor cancelled at the end";
   }
@@ -120,7 +143,7 @@
   Day day (GetParam () + 100);
   day.load ();
   for (int i = 0; i < 8; i++)
-    day.crash ((Time)(day.world.uniform (10, 150) * kSecond), day.world.below (3));
+    day.crash ((Time) (day.world.uniform (10, 150) * kSecond), day.world.below (3));
   for (int i = 0; i < 3; i++)
     day.crash (100 * kSecond, i);
   day.finish ();
@@ -131,7 +154,7 @@
   Day day (GetParam () + 200);
   day.load ();
   for (int i = 0; i < 6; i++)
-    day.machine_trouble ((Time)(day.world.uniform (20, 150) * kSecond));
+    day.machine_trouble ((Time) (day.world.uniform (20, 150) * kSecond));
   day.finish ();
 }
 
@@ -140,8 +163,8 @@
   Day day (GetParam () + 300);
   day.load ();
   for (int i = 0; i < 5; i++)
-    day.cut_node ((Time)(day.world.uniform (15, 140) * kSecond), day.world.below (3), day.world.chance (0.5));
-  day.outage ((Time)(day.world.uniform (30, 110) * kSecond), (Time)(day.world.uniform (5, 30) * kSecond));
+    day.cut_node ((Time) (day.world.uniform (15, 140) * kSecond), day.world.below (3), day.world.chance (0.5));
+  day.outage ((Time) (day.world.uniform (30, 110) * kSecond), (Time) (day.world.uniform (5, 30) * kSecond));
   day.finish ();
 }
 
@@ -152,10 +175,10 @@
   day.world.late = 0.02;
   day.load ();
   for (int i = 0; i < 5; i++) {
-    Time when = (Time)(day.world.uniform (15, 150) * kSecond);
+    Time when = (Time) (day.world.uniform (15, 150) * kSecond);
     day.crash (when, day.world.below (3));
-    day.machine_trouble (when + (Time)(day.world.uniform (-2, 2) * kSecond));
-    day.cut_node ((Time)(day.world.uniform (15, 140) * kSecond), day.world.below (3), day.world.chance (0.5));
+    day.machine_trouble (when + (Time) (day.world.uniform (-2, 2) * kSecond));
+    day.cut_node ((Time) (day.world.uniform (15, 140) * kSecond), day.world.below (3), day.world.chance (0.5));
   }
   day.outage (90 * kSecond, 15 * kSecond);
   day.finish ();
--- a/tests/test_units.cpp
+++ b/tests/test_units.cpp
@@ -34,7 +34,7 @@
   json_t *value = parse ("{\"a\":[1,-7,2.5,null,true,false,\"text\"],\"b\":{\"c\":9007199254740993},\"d\":[]}");
   GBytes *bytes = ft_cbor_encode (value);
   gsize size;
-  auto data = (const guint8 *)g_bytes_get_data (bytes, &size);
+  auto data = (const guint8 *) g_bytes_get_data (bytes, &size);
   json_t *back = ft_cbor_decode (data, size);
   EXPECT_TRUE (json_equal (value, back));
   // Every shorter prefix is malformed.
@@ -79,7 +79,7 @@
   see (gint64 now, guint64 token, const char *holder, guint64 fence, guint64 renewal, bool released = false,
        gint64 lease_us = 0)
   {
-    FtLeaseRows rows = { token, (char *)holder, 1, fence, renewal, lease_us, released };
+    FtLeaseRows rows = { token, (char *) holder, 1, fence, renewal, lease_us, released };
     ft_lease_observe (lease, now, &rows);
   }
 };
@@ -147,7 +147,7 @@
   ft_lease_released (l.lease, kS);
   l.see (2 * kS, 1, "me", 10, 11, true);
   EXPECT_FALSE (ft_lease_acquire_due (l.lease, 2 * kS));
-  EXPECT_TRUE (ft_lease_acquire_due (l.lease, 2 * kS + (gint64)(FT_ABSTAIN_S * kS)));
+  EXPECT_TRUE (ft_lease_acquire_due (l.lease, 2 * kS + (gint64) (FT_ABSTAIN_S * kS)));
 }
 
 // ---- states ----
@@ -306,7 +306,7 @@
   g_autoptr (GArray) none = ft_scheduler_answer (b.s, old_report, 101 * kS);
   EXPECT_EQ (none->len, 0u);
   // Under the token it does: one task is found running, the other is queued and starts.
-  FtReportedTask found = { (char *)"req-1", 0, 77, FT_REPORTED_RUNNING, FT_WHY_NONE, FALSE };
+  FtReportedTask found = { (char *) "req-1", 0, 77, FT_REPORTED_RUNNING, FT_WHY_NONE, FALSE };
   g_autoptr (GArray) commands = b.exchange (102 * kS, 2, { found });
   EXPECT_EQ (count (commands, FT_COMMAND_START), 1u);
   EXPECT_EQ (g_array_index (commands, FtCommand, 0).index, 1u);
@@ -324,7 +324,7 @@
   g_autoptr (GArray) starts = b.exchange (101 * kS, 2);
   ASSERT_EQ (count (starts, FT_COMMAND_START), 1u);
   FtReportedTask t
-      = { (char *)"req-1", 0, g_array_index (starts, FtCommand, 0).attempt, FT_REPORTED_RUNNING, FT_WHY_NONE, FALSE };
+      = { (char *) "req-1", 0, g_array_index (starts, FtCommand, 0).attempt, FT_REPORTED_RUNNING, FT_WHY_NONE, FALSE };
   g_autoptr (GArray) more = b.exchange (102 * kS, 3, { t });
   for (gint64 at = 103; at < 160; at++)
     ft_scheduler_tick (b.s, at * kS, TRUE);
@@ -352,7 +352,7 @@
   ASSERT_NE (direct, nullptr);
   ft_scheduler_direct_done (b.s, direct, FT_DIRECT_UNANSWERED, nullptr, 103 * kS);
   ft_direct_free (direct);
-  FtJob *job = (FtJob *)g_hash_table_lookup (b.s->jobs, "req-1");
+  FtJob *job = (FtJob *) g_hash_table_lookup (b.s->jobs, "req-1");
   ft_attempt_want_stop (job->tasks[0].attempt, 0);
   g_autoptr (GArray) first = b.exchange (104 * kS, 2);
   EXPECT_EQ (count (first, FT_COMMAND_START), 1u);
@@ -366,7 +366,7 @@
   ft_scheduler_job_added (b.s, spec ("req-1", 2), 5, 100 * kS, 0);
   g_autoptr (GArray) starts = b.exchange (101 * kS, 2);
   FtCommand c = g_array_index (starts, FtCommand, 0);
-  FtReportedTask done = { (char *)"req-1", c.index, c.attempt, FT_REPORTED_EXITED, FT_WHY_DONE, FALSE };
+  FtReportedTask done = { (char *) "req-1", c.index, c.attempt, FT_REPORTED_EXITED, FT_WHY_DONE, FALSE };
   g_autoptr (GArray) before = b.exchange (102 * kS, 3, { done });
   EXPECT_EQ (count (before, FT_COMMAND_FORGET), 0u);
   b.write (102 * kS);
@@ -383,10 +383,10 @@
   g_autoptr (GArray) starts = b.exchange (101 * kS, 6);
   ASSERT_EQ (count (starts, FT_COMMAND_START), 1u);
   FtReportedTask t
-      = { (char *)"req-1", 0, g_array_index (starts, FtCommand, 0).attempt, FT_REPORTED_EXITED, FT_WHY_ERROR, FALSE };
+      = { (char *) "req-1", 0, g_array_index (starts, FtCommand, 0).attempt, FT_REPORTED_EXITED, FT_WHY_ERROR, FALSE };
   g_autoptr (GArray) late = b.exchange (102 * kS, 4, { t });
   EXPECT_EQ (late->len, 0u);
-  FtJob *job = (FtJob *)g_hash_table_lookup (b.s->jobs, "req-1");
+  FtJob *job = (FtJob *) g_hash_table_lookup (b.s->jobs, "req-1");
   EXPECT_EQ (job->tasks[0].state, FT_TASK_STARTING);
 }
 
@@ -409,14 +409,32 @@
     g_autoptr (GArray) starts = b.exchange (101 * kS, sequence++);
     ASSERT_EQ (count (starts, FT_COMMAND_START), 1u);
     FtReportedTask t
-        = { (char *)ref, 0, g_array_index (starts, FtCommand, 0).attempt, FT_REPORTED_EXITED, FT_WHY_ERROR, FALSE };
+        = { (char *) ref, 0, g_array_index (starts, FtCommand, 0).attempt, FT_REPORTED_EXITED, FT_WHY_ERROR, FALSE };
     g_autoptr (GArray) rest = b.exchange (101 * kS, sequence++, { t });
   }
   ft_scheduler_tick (b.s, 102 * kS, TRUE);
-  FtMachine *m = (FtMachine *)g_hash_table_lookup (b.s->machines, "n-1");
+  FtMachine *m = (FtMachine *) g_hash_table_lookup (b.s->machines, "n-1");
   EXPECT_EQ (m->state, FT_MACHINE_RETURNING);
 }
 
+// Found by the random runs: a small job on a site without machines waited for
+// ever, since it needed too small a share of one.
+TEST (Fleet, OneSmallJobGetsAMachine)
+{
+  Bench b;
+  ft_scheduler_loaded (b.s, 100 * kS);
+  FtJobSpec *small = spec ("req-1", 1);
+  small->cpus = 0.5;
+  ft_scheduler_job_added (b.s, small, 5, 100 * kS, 0);
+  ft_scheduler_tick (b.s, 101 * kS, TRUE);
+  FtCloudCall *call = ft_scheduler_next_cloud (b.s, 101 * kS);
+  ASSERT_NE (call, nullptr);
+  EXPECT_EQ (call->op, FT_CLOUD_RENT);
+  EXPECT_EQ (call->count, 1u);
+  EXPECT_TRUE (call->spot);
+  ft_cloud_call_free (call);
+}
+
 TEST (Quota, UnknownTasksCountUpToWhatUnseenMachinesCanHold)
 {
   Bench b;
