--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -134,6 +134,9 @@
 /* Machines asked for in one rental request (protocol: at most 50). */
 /* Least seconds charged for a machine (protocol): no earlier return saves. */
 #define FT_LEAST_CHARGED_S 60.0
+/* Seconds after the end of a spot notice at which a machine that has not reported
+ * since counts as taken. */
+#define FT_NOTICE_MARGIN_S 0.5
 /* Idle machines returned in one look. */
 #define FT_RETURN_IDLE_MOST 2
 /* Seconds before a return that failed is tried again. */
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -391,7 +391,8 @@
     FtMachine *m = value;
     if (m->state == FT_MACHINE_RETURNING || m->state == FT_MACHINE_GONE)
       continue;
-    if (m->state == FT_MACHINE_SILENT && m->notice_until > 0 && s->now > m->notice_until) {
+    gint64 taken = m->notice_until + (gint64) (FT_NOTICE_MARGIN_S * FT_SECOND);
+    if (m->notice_until > 0 && s->now > taken && m->last_report < m->notice_until) {
       return_machine (s, m, "taken by the cloud");
     } else if (m->state == FT_MACHINE_SILENT && (holds_withdrawn (m) || may_give_up (s, m))) {
       s->silent_returned++;
