A leader whose process refuses connections is taken over before its lease ends

Cause: after a crash of the leader nothing starts until its process is back (3 s at Perth, 6 s at Regina) or its lease ends; each crash cost the waits of the jobs that came meanwhile.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -187,6 +187,11 @@
 /* Seconds between mesh heartbeats, and their time limit. */
 #define FT_MESH_EVERY_S 1.0
 #define FT_MESH_TIMEOUT_S 1.0
+/* Seconds within which a heartbeat that fails was refused, not lost; seconds until
+ * the next one then; and refusals in a row after which a leader is suspected. */
+#define FT_MESH_REFUSED_S 0.3
+#define FT_MESH_AGAIN_S 0.3
+#define FT_MESH_REFUSALS 2
 /* Seconds after which what a peer said no longer counts. */
 #define FT_MESH_FRESH_S 3.5
 /* Seconds without a state answer after which contact counts as lost. */
--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -16,6 +16,8 @@
   gboolean sighted;
   gint64 next_sweep;
   gint64 abstain_until;
+  gboolean suspected, suspicion_checked; /* the rows were read after the hint */
+  gboolean claimed_early;
 
   guint64 token;       /* ours, while acquiring or holding */
   guint64 fence_stamp; /* of our acquisition */
@@ -129,7 +131,9 @@
 {
   gboolean same = lease->sighted && rows->fence_stamp == lease->seen.fence_stamp
                   && rows->renewal_stamp == lease->seen.renewal_stamp;
+  lease->suspicion_checked = lease->suspected && same;
   if (!same) {
+    lease->suspected = FALSE; /* it has renewed, or another leads */
     lease->unrenewed_since = now;
     ft_lease_rows_clear (&lease->seen);
     lease->seen = *rows;
@@ -150,6 +154,24 @@
   plan_sweep (lease, now);
 }
 
+void
+ft_lease_suspect (FtLease *lease, const char *holder, gint64 now)
+{
+  if (lease->state != FT_LEASE_FOLLOWING || lease->suspected || !lease->sighted
+      || g_strcmp0 (lease->seen.holder, holder) != 0)
+    return;
+  g_message ("lease %s: holder %s is suspected to be gone", lease->member, holder);
+  lease->suspected = TRUE;
+  lease->suspicion_checked = FALSE;
+  lease->next_sweep = now;
+}
+
+gboolean
+ft_lease_claimed_early (const FtLease *lease)
+{
+  return lease->claimed_early;
+}
+
 gboolean
 ft_lease_sweep_due (const FtLease *lease, gint64 now)
 {
@@ -174,6 +196,8 @@
     return FALSE;
   if (lease->seen.fence_stamp == 0 || holder_is_self (lease) || lease->seen.released)
     return TRUE;
+  if (lease->suspected && lease->suspicion_checked)
+    return TRUE;
   gint64 longest = MAX (lease->lease_us, lease->seen.lease_us);
   return now - lease->unrenewed_since > (gint64) (longest * (1 + FT_CLOCK_DRIFT));
 }
@@ -185,6 +209,10 @@
                          .fence_stamp = lease->seen.fence_stamp,
                          .renewal_stamp = lease->seen.renewal_stamp,
                          .check_renewal = !holder_is_self (lease) };
+  gint64 lease_us = MAX (lease->lease_us, lease->seen.lease_us);
+  lease->claimed_early = claim.check_renewal && !lease->seen.released && lease->seen.fence_stamp != 0
+                         && now - lease->unrenewed_since <= (gint64) (lease_us * (1 + FT_CLOCK_DRIFT));
+  lease->suspected = lease->suspicion_checked = FALSE;
   lease->token = claim.token;
   lease->sent_lease_us = lease->lease_us;
   lease->valid_until = now;
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -126,6 +126,7 @@
   FtTuning tuning;
   GHashTable *drained; /* names drained by operators */
   gboolean loaded, recovered, may_start, dirty;
+  gboolean early; /* the former leader may still start what it hears of */
   gint64 pass;
   FtTeam *teams;
   GHashTable *jobs;     /* ref -> FtJob, owned */
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -57,6 +57,12 @@
   s->tuning = *tuning;
 }
 
+void
+ft_scheduler_set_early (FtScheduler *s)
+{
+  s->early = TRUE;
+}
+
 void
 ft_scheduler_set_catalog (FtScheduler *s, FtCatalog *catalog)
 {
@@ -124,7 +130,9 @@
 ft_scheduler_job_added (FtScheduler *s, FtJobSpec *spec, guint64 stamp, gint64 now, gint64 wall_ms)
 {
   s->now = now;
-  add_job (s, spec, stamp, FT_TASK_QUEUED, wall_ms);
+  /* After an early takeover the former leader may hear of this job as well and
+   * start it on a machine that does not know us yet. */
+  add_job (s, spec, stamp, s->early && !s->recovered ? FT_TASK_UNKNOWN : FT_TASK_QUEUED, wall_ms);
 }
 
 /* Nothing of a withdrawn job starts any more; what runs is stopped. */
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -18,6 +18,9 @@
 /* Operators' settings; copied. */
 void ft_scheduler_set_tuning (FtScheduler *s, const FtTuning *tuning);
 
+/* The former leader may live and start work until every machine knows our token. */
+void ft_scheduler_set_early (FtScheduler *s);
+
 /* ---- recovery: rows of the store, then loaded ---- */
 /* Takes the spec. */
 void ft_scheduler_load_job (FtScheduler *s, FtJobSpec *spec, guint64 stamp, gint64 now, gint64 wall_ms);
--- a/src/net/leader.c
+++ b/src/net/leader.c
@@ -502,6 +502,8 @@
   node->scheduler = ft_scheduler_new (&node->config->core, catalog, ft_lease_token (node->lease), node->hold_us, now,
                                       g_rand_int (node->random));
   ft_scheduler_set_tuning (node->scheduler, &node->tuning);
+  if (ft_lease_claimed_early (node->lease))
+    ft_scheduler_set_early (node->scheduler);
   ft_metrics_count (node->metrics, FT_COUNT_TAKEOVERS);
   node->journal_stamp = stamp;
   node->journal_batch = 0;
--- a/src/net/mesh.c
+++ b/src/net/mesh.c
@@ -16,9 +16,20 @@
 on_beat (guint status, const json_t *body, gpointer data)
 {
   g_autofree Beat *beat = data;
-  (void) status;
+  FtNode *node = beat->node;
+  FtPeerView *view = &g_array_index (node->peers, FtPeerView, beat->peer);
+  gint64 now = g_get_monotonic_time ();
   (void) body;
-  g_array_index (beat->node->peers, FtPeerView, beat->peer).in_flight = FALSE;
+  view->in_flight = FALSE;
+  if (status != 0 || now - view->sent_at > (gint64) (FT_MESH_REFUSED_S * FT_SECOND)) {
+    view->refused = 0; /* answered, or silent: a cut does not refuse */
+    return;
+  }
+  view->refused++;
+  node->next_mesh = MIN (node->next_mesh, now + (gint64) (FT_MESH_AGAIN_S * FT_SECOND));
+  /* Refused again and again, and silent itself: most likely its process ended. */
+  if (view->refused >= FT_MESH_REFUSALS && now - view->heard_at > (gint64) (FT_MESH_EVERY_S * FT_SECOND))
+    ft_lease_suspect (node->lease, view->peer->member, now);
 }
 
 static void
@@ -64,6 +75,7 @@
     beat->node = node;
     beat->peer = i;
     view->in_flight = TRUE;
+    view->sent_at = now;
     ft_http_send (node->mesh, "POST", view->peer->addr, "/mesh/beat", FT_BODY_JSON, body, FT_MESH_TIMEOUT_S, FALSE,
                   on_beat, beat);
   }
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -17,6 +17,8 @@
   gint64 heard_at;
   gint64 served_at; /* when the state service last answered it, on our clock */
   gboolean in_flight;
+  gint64 sent_at;
+  guint refused; /* heartbeats in a row that were refused at once */
 } FtPeerView;
 
 struct _FtNode {
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -229,7 +229,7 @@
 
   Time now = 0;
   GRand *random;
-  double loss = 0.002, late = 0.002;
+  double loss = 0.002, late = 0.002, wrong_suspicion = 0.0005;
   Store store;
   FtSettings settings{};
   FtCatalog *catalog;
--- a/tests/test_units.cpp
+++ b/tests/test_units.cpp
@@ -138,6 +138,24 @@
   EXPECT_FALSE (ft_lease_may_answer (l.lease, 21 * kS, 21 * kS));
 }
 
+TEST (Lease, ASuspectedHolderIsTakenOverOnlyIfItsRowsStandStill)
+{
+  Lease alive, gone;
+  for (Lease *l : { &alive, &gone }) {
+    l->see (0, 4, "other", 10, 20);
+    ft_lease_suspect (l->lease, "other", kS);
+    EXPECT_TRUE (ft_lease_sweep_due (l->lease, kS));
+    EXPECT_FALSE (ft_lease_acquire_due (l->lease, kS)) << "the rows must be read first";
+  }
+  alive.see (2 * kS, 4, "other", 10, 21);
+  EXPECT_FALSE (ft_lease_acquire_due (alive.lease, 2 * kS));
+  gone.see (2 * kS, 4, "other", 10, 20);
+  ASSERT_TRUE (ft_lease_acquire_due (gone.lease, 2 * kS));
+  FtLeaseClaim c = ft_lease_claim (gone.lease, 2 * kS);
+  EXPECT_TRUE (c.check_renewal);
+  EXPECT_TRUE (ft_lease_claimed_early (gone.lease));
+}
+
 TEST (Lease, AReleasedHolderKeepsOff)
 {
   Lease l;
@@ -313,6 +331,25 @@
   EXPECT_GT (g_array_index (commands, FtCommand, 0).attempt, 77u);
 }
 
+TEST (Scheduler, AfterAnEarlyTakeoverNewJobsWaitUntilEachMachineKnowsTheToken)
+{
+  Bench b;
+  ft_scheduler_set_early (b.s);
+  ft_scheduler_load_machine (b.s, "n-9", "10.1.0.9:9000", "std", "a", FALSE);
+  ft_scheduler_loaded (b.s, 100 * kS);
+  b.machine_up (100 * kS);
+  ft_scheduler_job_added (b.s, spec ("req-1", 1), 5, 100 * kS, 0);
+  g_autoptr (GArray) none = b.exchange (101 * kS, 2);
+  EXPECT_EQ (none->len, 0u);
+  g_autoptr (FtReport) other = b.report (1, 1, 3);
+  g_free (other->machine);
+  other->machine = g_strdup ("n-9");
+  ft_scheduler_drain (b.s, "n-9", TRUE);  // so that the task can only go to the other one
+  ft_scheduler_report (b.s, other, 102 * kS);
+  g_autoptr (GArray) starts = b.exchange (103 * kS, 3);
+  EXPECT_EQ (count (starts, FT_COMMAND_START), 1u);
+}
+
 // Found by the random runs: a machine that hangs past its worker lease still
 // has its tasks; time alone must not free them.
 TEST (Scheduler, AWorkerLeaseThatLapsedFreesNoTask)
