--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -29,6 +29,10 @@
 /* Seconds a controller that gave the lease up leaves it to others. */
 #define FT_ABSTAIN_S 20.0
 
+/* Range in seconds of the pause before a renewal that failed is sent again. */
+#define FT_RENEW_AGAIN_LEAST_S 0.2
+#define FT_RENEW_AGAIN_MOST_S 0.5
+
 /* ---- operators' settings ---- */
 /* name, field, unit, least, most, default, what it does. They live in the state
  * service and are changed through the administration API only. The log level
@@ -58,6 +62,11 @@
 #define FT_WORKER_TIMEOUT_S 4.0
 /* Seconds added to a worker lease before its tasks are counted as over. */
 #define FT_WORKER_LEASE_MARGIN_S 1.0
+/* Longest ordinary gap between two reports, in report intervals (protocol: an
+ * interval is moved by up to a quarter). */
+#define FT_REPORT_GAP 1.25
+/* Seconds by which a report may be overdue on a machine that still gets work. */
+#define FT_USABLE_MARGIN_S 3.0
 /* Seconds a direct command may take before it counts as unanswered. */
 #define FT_COMMAND_TIMEOUT_S 2.0
 /* Seconds without a report, beyond the longest ordinary gap, after which a
@@ -89,6 +98,8 @@
 /* ---- placement ---- */
 /* Machines with room looked at before the best is taken. */
 #define FT_SAMPLE_SIZE 64
+/* Failures of a task that are counted; the pause is at its longest long before. */
+#define FT_FAILS_COUNTED 16
 /* First and longest pause in seconds of a task that failed. */
 #define FT_RETRY_FIRST_S 1.0
 #define FT_RETRY_LONGEST_S 30.0
@@ -101,6 +112,12 @@
  * left until its deadline, to be stopped for another. */
 #define FT_PREEMPT_RAN_SHARE 0.25
 #define FT_PREEMPT_SLACK 1.3
+/* What a machine left wholly empty and an ordinary machine weigh in the choice of
+ * a machine, in seconds of waiting. */
+/* Share of an image's fetch that is still to come, in the mean, if it has begun. */
+#define FT_SCORE_FETCHING 0.8
+#define FT_SCORE_LEFT_S 2.0
+#define FT_SCORE_ORDINARY_S 0.5
 /* Seconds a task that was stopped for another leaves its room to that one. */
 #define FT_PREEMPTED_PAUSE_S 2.0
 /* A job is too late when less than this share of its estimate is left until its
@@ -131,9 +148,17 @@
 #define FT_BOOT_PLUS_S 20.0
 /* Share of a machine that must be wanted before one is rented. */
 #define FT_RENT_FROM 0.2
+/* Nominal boot time in seconds of a type that is not in the catalog. */
+#define FT_BOOT_UNKNOWN_S 60.0
+/* Machines in a pool that weigh as much as a price of one an hour: the price
+ * decides, the number of machines only among equal prices. */
+#define FT_POOL_PRICE_WEIGHT 1000.0
 /* Machines asked for in one rental request (protocol: at most 50). */
 /* Least seconds charged for a machine (protocol): no earlier return saves. */
 #define FT_LEAST_CHARGED_S 60.0
+/* A task that will have run less than this share of its estimate when its spot
+ * machine is taken goes elsewhere at once. */
+#define FT_NOTICE_LOST_SHARE 0.6
 /* Seconds after the end of a spot notice at which a machine that has not reported
  * since counts as taken. */
 #define FT_NOTICE_MARGIN_S 0.5
@@ -174,6 +199,8 @@
 #define FT_CLOUD_SHARE 0.8
 /* Requests waiting for the state service before new user requests get 503. */
 #define FT_STATE_QUEUE_MOST 64
+/* Milliseconds until a used-up budget is looked at again. */
+#define FT_BUDGET_WAIT_MS 20
 /* Seconds a user's request may wait for the state service in all. */
 #define FT_USER_DEADLINE_S 3.0
 /* Seconds between two reads of the operators' settings. */
@@ -217,10 +244,10 @@
 /* Seconds an unused client connection is kept. */
 #define FT_CLIENT_IDLE_S 30
 /* Bytes of a body beyond which the connection is closed unread. */
-#define FT_BODY_CUT (4 * FT_BODY_MOST)
+#define FT_BODY_CUT (4UL * FT_BODY_MOST)
 /* Longest pause in seconds between tries at a service that fails. */
 #define FT_BACKOFF_FIRST_S 0.15
-#define FT_BACKOFF_LONGEST_S 2.0
+#define FT_BACKOFF_LONGEST_S 1.0
 /* Tries of a withdrawal that races with other changes. */
 #define FT_WITHDRAW_TRIES 3
 /* Rows asked for in one list (protocol: at most 1,000). */
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -237,7 +237,7 @@
       FtPool *pool = get_pool (s, need->type->name, zone, spot);
       if (pool->booking != NULL || pool->refused_until > s->now)
         continue;
-      double cost = (spot ? need->type->spot_price : need->type->price) * 1000 + machines_in (s, pool);
+      double cost = (spot ? need->type->spot_price : need->type->price) * FT_POOL_PRICE_WEIGHT + machines_in (s, pool);
       if (cost < best_cost) {
         best_cost = cost;
         best = pool;
@@ -306,7 +306,7 @@
 static gboolean
 boot_failed (const FtScheduler *s, const FtMachine *machine)
 {
-  double boot = machine->type != NULL ? machine->type->boot_s : 60;
+  double boot = machine->type != NULL ? machine->type->boot_s : FT_BOOT_UNKNOWN_S;
   gint64 limit = (gint64) ((boot * FT_BOOT_FACTOR + FT_BOOT_PLUS_S) * FT_SECOND);
   return machine->state == FT_MACHINE_BOOTING && s->now - machine->rented_at > limit;
 }
--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -277,7 +277,8 @@
 void
 ft_lease_renew_failed (FtLease *lease, gint64 now)
 {
-  lease->next_renewal = now + (gint64) (g_rand_double_range (lease->random, 0.2, 0.5) * FT_SECOND);
+  lease->next_renewal
+      = now + (gint64) (g_rand_double_range (lease->random, FT_RENEW_AGAIN_LEAST_S, FT_RENEW_AGAIN_MOST_S) * FT_SECOND);
 }
 
 void
--- a/src/core/machine.c
+++ b/src/core/machine.c
@@ -90,7 +90,8 @@
   return machine->state == FT_MACHINE_UP && machine->in_roster && machine->accounted && machine->type != NULL
          && !machine->drained && !machine->faulty && machine->notice_until == 0
          && machine->session > machine->lapsed_session
-         && s->now - machine->last_report < 3 * FT_SECOND + (gint64) (s->settings->report_s * 1.25 * FT_SECOND);
+         && s->now - machine->last_report
+                < (gint64) ((s->settings->report_s * FT_REPORT_GAP + FT_USABLE_MARGIN_S) * FT_SECOND);
 }
 
 gboolean
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -109,13 +109,13 @@
     while (g_hash_table_iter_next (&it, NULL, &value)) {
       const FtAttempt *a = value;
       if (a->holds && !a->running && a->job != NULL && g_strcmp0 (a->job->spec->image, spec->image) == 0) {
-        wait *= 0.8; /* another task fetches it already */
+        wait *= FT_SCORE_FETCHING; /* another task fetches it already */
         break;
       }
     }
   }
   double left = (machine->type->cpus - machine->cpus - spec->cpus) / machine->type->cpus;
-  return wait + 2.0 * left + (machine->spot ? 0 : 0.5);
+  return wait + FT_SCORE_LEFT_S * left + (machine->spot ? 0 : FT_SCORE_ORDINARY_S);
 }
 
 /* A task keeps off the machine where it failed, for a while only: it may be
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -238,9 +238,9 @@
   FtJob *job = a->job;
   FtMachine *machine = a->machine;
   FtTask *task = &job->tasks[a->index];
-  task->fails = MIN (task->fails + 1, 20);
+  task->fails = MIN (task->fails + 1, FT_FAILS_COUNTED);
   task->avoid = machine;
-  double pause = MIN (FT_RETRY_FIRST_S * (1u << MIN (task->fails - 1, 10)), FT_RETRY_LONGEST_S);
+  double pause = MIN (FT_RETRY_FIRST_S * (1u << (task->fails - 1)), FT_RETRY_LONGEST_S);
   task->not_before = s->now + (gint64) (pause * FT_SECOND);
   if (why != FT_WHY_ERROR)
     return;
@@ -428,7 +428,7 @@
     double ran = a->running ? (double) (s->now - a->running_at) / FT_SECOND : 0;
     if (spec->checkpoint_s > 0 && a->running)
       ft_attempt_want_stop (a, spec->save_s);
-    else if (ran + notice_s < 0.6 * spec->estimate_s)
+    else if (ran + notice_s < FT_NOTICE_LOST_SHARE * spec->estimate_s)
       ft_attempt_want_stop (a, 0);
   }
 }
@@ -583,7 +583,7 @@
 static gboolean
 report_overdue (const FtScheduler *s, const FtMachine *machine)
 {
-  double gap = s->settings->report_s * 1.25 + FT_OVERDUE_MARGIN_S;
+  double gap = s->settings->report_s * FT_REPORT_GAP + FT_OVERDUE_MARGIN_S;
   return s->now - machine->last_report > (gint64) (gap * FT_SECOND);
 }
 
@@ -739,7 +739,7 @@
     g_message ("machine %s: worker lease over, session %" G_GUINT64_FORMAT, machine->name, machine->session);
     machine->lapsed_session = machine->session;
   }
-  double silence = s->settings->report_s * 1.25 + FT_WORKER_TIMEOUT_S + FT_SILENCE_MARGIN_S;
+  double silence = s->settings->report_s * FT_REPORT_GAP + FT_WORKER_TIMEOUT_S + FT_SILENCE_MARGIN_S;
   gboolean silent = s->now - machine->last_report > seconds (silence)
                     || machine->probe_fails >= (machine->accounted ? FT_PROBES : FT_PROBES_TAKEOVER);
   if (machine->state == FT_MACHINE_UP && silent)
--- a/src/net/leader.c
+++ b/src/net/leader.c
@@ -20,6 +20,7 @@
   GArray *list;
   char *text;
   const char *prefix; /* static */
+  guint tries;
   void (*again) (struct Call *call);
 } Call;
 
@@ -68,8 +69,11 @@
 static void
 try_again (Call *call, void (*again) (Call *call))
 {
+  double pause = MIN (FT_BACKOFF_FIRST_S * (1u << MIN (call->tries, 8)), FT_BACKOFF_LONGEST_S);
+  pause *= g_rand_double_range (call->node->random, 0.5, 1.5);
+  call->tries++;
   call->again = again;
-  g_timeout_add ((guint) (FT_BACKOFF_FIRST_S * 1000), on_again, call);
+  g_timeout_add ((guint) (pause * 1000), on_again, call);
 }
 
 static gint64
@@ -428,9 +432,8 @@
   FtCloudResult result = FT_CLOUD_FAILED;
   if (status == 200 && (call->cloud->op == FT_CLOUD_RETURN || ft_cloud_rented (body, call->cloud)))
     result = FT_CLOUD_OK;
-  else if (status == 503 && g_strcmp0 (json_string_value (json_object_get (body, "error")), "no capacity") == 0)
-    result = FT_CLOUD_REFUSED;
-  else if (status == 400)
+  else if (status == 400
+           || (status == 503 && g_strcmp0 (json_string_value (json_object_get (body, "error")), "no capacity") == 0))
     result = FT_CLOUD_REFUSED;
   ft_scheduler_cloud_done (node->scheduler, call->cloud, result, g_get_monotonic_time ());
   ft_node_pump (node);
--- a/src/net/node.c
+++ b/src/net/node.c
@@ -132,7 +132,7 @@
 cut_off (const FtNode *node, gint64 now)
 {
   const FtSettings *s = &node->config->core;
-  gint64 gap = (gint64) ((s->report_s * 1.25 + FT_CUT_OFF_MARGIN_S) * FT_SECOND);
+  gint64 gap = (gint64) ((s->report_s * FT_REPORT_GAP + FT_CUT_OFF_MARGIN_S) * FT_SECOND);
   if (now - node->led_since < (gint64) (FT_CUT_OFF_GRACE_S * FT_SECOND))
     return FALSE;
   return node->config->peers->len > 0 && now - node->last_report > gap
--- a/src/net/state_client.c
+++ b/src/net/state_client.c
@@ -120,7 +120,7 @@
     while ((request = g_queue_peek_head (&state->queues[i])) != NULL) {
       if (!ft_budget_has (&state->requests, 1, now) || !ft_budget_has (&state->writes, request->writes, now)) {
         if (state->pump_timer == 0)
-          state->pump_timer = g_timeout_add (20, on_pump_timer, state);
+          state->pump_timer = g_timeout_add (FT_BUDGET_WAIT_MS, on_pump_timer, state);
         return;
       }
       g_queue_pop_head (&state->queues[i]);
