--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -135,7 +135,7 @@
 #define FT_LIST_EVERY_S 4.0
 #define FT_CATALOG_EVERY_S 60.0
 /* Seconds a spot and an ordinary machine stand idle before they are returned. */
-#define FT_IDLE_SPOT_S 60.0
+#define FT_IDLE_SPOT_S 40.0
 #define FT_IDLE_ORDINARY_S 25.0
 /* Idle capacity kept, as a share of what is in use, for each second that a
  * machine takes to boot: the longer that is, the more demand may rise meanwhile. */
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -419,7 +419,9 @@
 return_idle (FtScheduler *s)
 {
   Supply supply = find_supply (s, NULL);
-  double spare = supply.free - headroom (s) * supply.in_use - 1;
+  /* One machine stands by while there is work, none on a site without any. */
+  double standby = g_hash_table_size (s->jobs) > 0 ? 1 : 0;
+  double spare = supply.free - headroom (s) * supply.in_use - standby;
   for (guint n = 0; n < FT_RETURN_IDLE_MOST && spare >= 1; n++, spare--) {
     FtMachine *worst = NULL;
     GHashTableIter it;
--- a/tests/test_units.cpp
+++ b/tests/test_units.cpp
@@ -344,7 +344,7 @@
   g_autoptr (FtReport) other = b.report (1, 1, 3);
   g_free (other->machine);
   other->machine = g_strdup ("n-9");
-  ft_scheduler_drain (b.s, "n-9", TRUE);  // so that the task can only go to the other one
+  ft_scheduler_drain (b.s, "n-9", TRUE); // so that the task can only go to the other one
   ft_scheduler_report (b.s, other, 102 * kS);
   g_autoptr (GArray) starts = b.exchange (103 * kS, 3);
   EXPECT_EQ (count (starts, FT_COMMAND_START), 1u);
@@ -454,6 +454,23 @@
   EXPECT_EQ (m->state, FT_MACHINE_RETURNING);
 }
 
+// Found by the check of real processes: a site without work kept a machine.
+TEST (Fleet, ASiteWithoutWorkKeepsNoMachine)
+{
+  Bench b;
+  ft_scheduler_loaded (b.s, 100 * kS);
+  b.machine_up (100 * kS);
+  FtCloudCall *call = nullptr;
+  for (gint64 at = 101; at < 200 && call == nullptr; at++) {
+    g_autoptr (GArray) none = b.exchange (at * kS, (guint64) at);
+    ft_scheduler_tick (b.s, at * kS, TRUE);
+    call = ft_scheduler_next_cloud (b.s, at * kS);
+  }
+  ASSERT_NE (call, nullptr);
+  EXPECT_EQ (call->op, FT_CLOUD_RETURN);
+  ft_cloud_call_free (call);
+}
+
 // Found by the random runs: a small job on a site without machines waited for
 // ever, since it needed too small a share of one.
 TEST (Fleet, OneSmallJobGetsAMachine)
