A machine's age comes from the cloud's list, so idle ones go back after a takeover

Cause: the check of real processes still found two idle machines: after a takeover a machine counted as newly rented, and its least charged minute began anew.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -608,6 +608,8 @@
     ft_machine_end_session (s, m);
     m->accounted = TRUE;
   }
+  /* A machine known from the roster or a report is older than this leadership. */
+  m->rented_at = MIN (m->rented_at, s->now - (gint64) (entry->age_s * FT_SECOND));
   if (m->addr == NULL && entry->addr != NULL)
     m->addr = g_strdup (entry->addr);
 }
