Tidy: plain reads of flintctl are table rows, unused fields and a split comment go

flintctl's five commands that only show a list were one function written five times; they are rows of its command table now. Removed three fields that were set and never read.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -112,10 +112,10 @@
  * left until its deadline, to be stopped for another. */
 #define FT_PREEMPT_RAN_SHARE 0.25
 #define FT_PREEMPT_SLACK 1.3
-/* What a machine left wholly empty and an ordinary machine weigh in the choice of
- * a machine, in seconds of waiting. */
 /* Share of an image's fetch that is still to come, in the mean, if it has begun. */
 #define FT_SCORE_FETCHING 0.8
+/* What a machine left wholly empty and an ordinary machine weigh in the choice of
+ * a machine, in seconds of waiting. */
 #define FT_SCORE_LEFT_S 2.0
 #define FT_SCORE_ORDINARY_S 0.5
 /* Seconds a task that was stopped for another leaves its room to that one. */
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -9,7 +9,6 @@
   const char *type, *zone; /* interned */
   gboolean spot;
   gint64 refused_until;
-  guint wanted;  /* machines to ask for next */
   guint asked;   /* in the request under way */
   char *booking; /* of the request under way or to repeat; NULL if none */
   gboolean in_flight;
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -75,7 +75,7 @@
   FtMachineState state; /* changed by ft_machine_set_state() only */
   guint64 session, sequence;
   guint64 lapsed_session; /* sessions up to here are over */
-  gint64 rented_at, up_at, last_report, last_answer, idle_since;
+  gint64 rented_at, last_report, last_answer, idle_since;
   gint64 notice_until; /* 0: none */
   gint64 probe_at;
   guint probe_fails;  /* direct requests without answer since the last report */
@@ -86,7 +86,6 @@
   gboolean faulty;
   gboolean listed_running;
   gboolean command_in_flight, return_in_flight;
-  gboolean replied; /* reported at least once under our token */
   guint failing_jobs;
   FtJob *last_failed;           /* compared only */
   double cpus, gpus, memory_gb; /* taken by attempts not known to be over */
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -470,10 +470,9 @@
   machine->sequence = report->sequence;
   machine->last_report = s->now;
   machine->probe_fails = 0;
-  machine->replied = TRUE;
   if (machine->state == FT_MACHINE_BOOTING || machine->state == FT_MACHINE_SILENT) {
     if (machine->state == FT_MACHINE_BOOTING)
-      machine->up_at = machine->idle_since = s->now;
+      machine->idle_since = s->now;
     ft_machine_set_state (machine, FT_MACHINE_UP);
     s->dirty = TRUE;
   }
--- a/src/ctl/flintctl.c
+++ b/src/ctl/flintctl.c
@@ -162,41 +162,6 @@
   return code;
 }
 
-static int
-cmd_status (char **args)
-{
-  (void) args;
-  return show ("/admin/status", "peers");
-}
-
-static int
-cmd_teams (char **args)
-{
-  (void) args;
-  return show ("/admin/teams", "teams");
-}
-
-static int
-cmd_jobs (char **args)
-{
-  (void) args;
-  return show ("/admin/jobs", "jobs");
-}
-
-static int
-cmd_queue (char **args)
-{
-  (void) args;
-  return show ("/admin/queue", "queue");
-}
-
-static int
-cmd_machines (char **args)
-{
-  (void) args;
-  return show ("/admin/machines", "machines");
-}
-
 static int
 cmd_job (char **args)
 {
@@ -310,21 +275,22 @@
 
 typedef struct {
   const char *name, *arguments, *what;
-  guint least, most; /* arguments */
-  int (*run) (char **args);
+  guint least, most;        /* arguments */
+  int (*run) (char **args); /* NULL: shows /admin/NAME */
+  const char *list;         /* the list to show as a table, then */
 } Command;
 
 static const Command commands[] = {
-  { "status", "", "one controller's state and the leader", 0, 0, cmd_status },
-  { "teams", "", "use, guarantee and limit of each team", 0, 0, cmd_teams },
-  { "jobs", "", "open jobs", 0, 0, cmd_jobs },
-  { "job", "REF", "one open job", 1, 1, cmd_job },
-  { "queue", "", "jobs that wait, and for what", 0, 0, cmd_queue },
-  { "machines", "", "machines, and why one is not used", 0, 0, cmd_machines },
-  { "drain", "MACHINE", "give a machine no more work", 1, 1, cmd_drain },
-  { "undrain", "MACHINE", "use it again", 1, 1, cmd_undrain },
-  { "settings", "get | set NAME VALUE", "operators' settings; VALUE may be default", 1, 3, cmd_settings },
-  { "metrics", "", "counters and latencies of one controller", 0, 0, cmd_metrics },
+  { "status", "", "one controller's state and the leader", 0, 0, NULL, "peers" },
+  { "teams", "", "use, guarantee and limit of each team", 0, 0, NULL, "teams" },
+  { "jobs", "", "open jobs", 0, 0, NULL, "jobs" },
+  { "job", "REF", "one open job", 1, 1, cmd_job, NULL },
+  { "queue", "", "jobs that wait, and for what", 0, 0, NULL, "queue" },
+  { "machines", "", "machines, and why one is not used", 0, 0, NULL, "machines" },
+  { "drain", "MACHINE", "give a machine no more work", 1, 1, cmd_drain, NULL },
+  { "undrain", "MACHINE", "use it again", 1, 1, cmd_undrain, NULL },
+  { "settings", "get | set NAME VALUE", "operators' settings; VALUE may be default", 1, 3, cmd_settings, NULL },
+  { "metrics", "", "counters and latencies of one controller", 0, 0, cmd_metrics, NULL },
 };
 
 static char *
@@ -366,7 +332,10 @@
   }
   const char *environment = g_getenv ("FLINTCTL_NODES");
   nodes = given != NULL ? g_strdupv (given) : g_strsplit (environment != NULL ? environment : "127.0.0.1:8081", ",", 0);
-  return command->run (argv + 1);
+  if (command->run != NULL)
+    return command->run (argv + 1);
+  g_autofree char *path = g_strconcat ("/admin/", command->name, NULL);
+  return show (path, command->list);
 }
 
 int
--- a/src/net/admin.c
+++ b/src/net/admin.c
@@ -23,14 +23,6 @@
 
 /* ---- reads ---- */
 
-static const char *
-leader_name (const FtNode *node)
-{
-  if (node->scheduler != NULL)
-    return node->config->member;
-  return node->mesh_leader != NULL ? node->mesh_leader : ft_lease_holder (node->lease);
-}
-
 static const char *
 peer_addr (const FtNode *node, const char *member)
 {
@@ -63,8 +55,8 @@
   json_t *body
       = json_pack ("{s:s, s:s, s:b, s:b, s:s, s:s?, s:I, s:b, s:i, s:o}", "member", node->config->member, "version",
                    FT_VERSION, "ready", ft_node_ready (node, now), "state_service", ft_state_contact (node->state, now),
-                   "lease", ft_lease_state_name (ft_lease_state (node->lease)), "leader", leader_name (node), "token",
-                   (json_int_t) (node->scheduler != NULL ? ft_lease_token (node->lease) : node->mesh_token),
+                   "lease", ft_lease_state_name (ft_lease_state (node->lease)), "leader", ft_node_leader (node),
+                   "token", (json_int_t) (node->scheduler != NULL ? ft_lease_token (node->lease) : node->mesh_token),
                    "recovered", node->scheduler != NULL && ft_scheduler_is_loaded (node->scheduler), "user_connections",
                    (int) ft_http_server_connections (node->front), "peers", peers_body (node, now));
   if (node->scheduler != NULL)
@@ -332,7 +324,7 @@
 {
   if (node->scheduler != NULL && ft_scheduler_is_loaded (node->scheduler))
     return TRUE;
-  const char *leader = leader_name (node);
+  const char *leader = ft_node_leader (node);
   const char *addr = leader != NULL ? peer_addr (node, leader) : NULL;
   if (addr != NULL)
     ft_http_respond (request, 421,
--- a/src/net/node.c
+++ b/src/net/node.c
@@ -10,6 +10,14 @@
   return node->scheduler != NULL;
 }
 
+const char *
+ft_node_leader (const FtNode *node)
+{
+  if (node->scheduler != NULL)
+    return node->config->member;
+  return node->mesh_leader != NULL ? node->mesh_leader : ft_lease_holder (node->lease);
+}
+
 void
 ft_node_step_down (FtNode *node, const char *why)
 {
