--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -29,6 +29,30 @@
 /* Seconds a controller that gave the lease up leaves it to others. */
 #define FT_ABSTAIN_S 20.0
 
+/* ---- operators' settings ---- */
+/* name, field, unit, least, most, default, what it does. They live in the state
+ * service and are changed through the administration API only. The log level
+ * counts through FT_LOG_CHOICES. */
+#define FT_OPERATOR_SETTINGS(X)                                                                                        \
+  X ("lease_time", lease_s, "s", 2.0, 60.0, FT_LEASE_S, "how long a leader may act after a renewal was sent")          \
+  X ("sweep_period", sweep_s, "s", 0.5, 30.0, FT_SWEEP_S, "how often a follower looks at the lease")                   \
+  X ("sweep_jitter", sweep_jitter, "share", 0.0, 0.5, FT_SWEEP_JITTER, "by how much each sweep is moved at random")    \
+  X ("renewal_fraction", renew_fraction, "count", 2.0, 10.0, FT_RENEW_FRACTION, "renewals sent in one lease time")     \
+  X ("sample_size", sample_size, "machines", 1.0, 500.0, FT_SAMPLE_SIZE, "machines with room compared in placing")     \
+  X ("idle_time_spot", idle_spot_s, "s", 0.0, 3600.0, FT_IDLE_SPOT_S, "idle time before a spot machine is returned")   \
+  X ("idle_time_ordinary", idle_ordinary_s, "s", 0.0, 3600.0, FT_IDLE_ORDINARY_S, "the same for an ordinary machine")  \
+  X ("idle_reserve", headroom_per_boot_s, "share/s", 0.0, 0.1, FT_HEADROOM_PER_BOOT_S,                                 \
+     "idle capacity kept, as a share of what is in use, for each second of boot time")                                 \
+  X ("spot_share", spot_share, "share", 0.0, 1.0, 1.0, "most of the machines that may be spot machines")               \
+  X ("log_level", log_level, "choice", 0.0, 3.0, 0.0, "what the controllers log")
+#define FT_LOG_CHOICES                                                                                                 \
+  {                                                                                                                    \
+    "environment", "error", "info", "debug"                                                                            \
+  }
+/* Least time in seconds between a renewal that got no answer and the end of the
+ * lease: one more try must fit in. */
+#define FT_RENEW_SLACK_S 0.5
+
 /* ---- workers ---- */
 /* Seconds a worker waits for an answer to its report (protocol). */
 #define FT_WORKER_TIMEOUT_S 4.0
@@ -141,6 +165,14 @@
 #define FT_STATE_QUEUE_MOST 64
 /* Seconds a user's request may wait for the state service in all. */
 #define FT_USER_DEADLINE_S 3.0
+/* Seconds between two reads of the operators' settings. */
+#define FT_SETTINGS_EVERY_S 5.0
+/* Seconds flintctl waits for one controller. */
+#define FT_CTL_TIMEOUT_S 3.0
+/* Latency histograms: bucket count, and their range in milliseconds. */
+#define FT_HISTOGRAM_BUCKETS 48
+#define FT_HISTOGRAM_LEAST_MS 0.1
+#define FT_HISTOGRAM_MOST_MS 100000.0
 /* Seconds between mesh heartbeats, and their time limit. */
 #define FT_MESH_EVERY_S 1.0
 #define FT_MESH_TIMEOUT_S 1.0
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -9,9 +9,9 @@
   const char *type, *zone; /* interned */
   gboolean spot;
   gint64 refused_until;
-  guint wanted;   /* machines to ask for next */
-  guint asked;    /* in the request under way */
-  char *booking;  /* of the request under way or to repeat; NULL if none */
+  guint wanted;  /* machines to ask for next */
+  guint asked;   /* in the request under way */
+  char *booking; /* of the request under way or to repeat; NULL if none */
   gboolean in_flight;
   gint64 retry_at;
 } FtPool;
@@ -26,7 +26,7 @@
 GHashTable *
 ft_fleet_pools_new (void)
 {
-  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) pool_free);
+  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)pool_free);
 }
 
 static FtPool *
@@ -62,7 +62,7 @@
     n = MIN (n, type->memory_gb / spec->memory_gb);
   if (spec->gpus > 0)
     n = MIN (n, type->gpus / spec->gpus);
-  return (guint) MIN (n + 1e-6, G_MAXUINT16);
+  return (guint)MIN (n + 1e-6, G_MAXUINT16);
 }
 
 /* The allowed type on which a task of the job costs least. */
@@ -74,9 +74,9 @@
   for (guint i = 0; i < s->catalog->types->len; i++) {
     const FtMachineType *type = g_ptr_array_index (s->catalog->types, i);
     guint n = per_machine (type, spec);
-    if (n == 0 || (spec->types != NULL && !g_strv_contains ((const char *const *) spec->types, type->name)))
+    if (n == 0 || (spec->types != NULL && !g_strv_contains ((const char *const *)spec->types, type->name)))
       continue;
-    if (spec->zone != NULL && !g_strv_contains ((const char *const *) type->zones, spec->zone))
+    if (spec->zone != NULL && !g_strv_contains ((const char *const *)type->zones, spec->zone))
       continue;
     double price = (spec->spot ? type->spot_price : type->price) / n;
     if (price < best_price) {
@@ -111,7 +111,7 @@
     room[t] = s->teams[t].limit->cpus_max - s->teams[t].cpus;
   for (guint i = 0; i < s->order->len; i++) {
     const FtJob *job = g_ptr_array_index (s->order, i);
-    guint t = (guint) (job->team - s->teams);
+    guint t = (guint)(job->team - s->teams);
     double tasks = job->counts[FT_TASK_QUEUED];
     if (job->spec->cpus > 0)
       tasks = MIN (tasks, room[t] / job->spec->cpus);
@@ -180,8 +180,8 @@
 {
   double boot = 0;
   for (guint i = 0; i < s->catalog->types->len; i++)
-    boot = MAX (boot, ((const FtMachineType *) g_ptr_array_index (s->catalog->types, i))->boot_s);
-  return boot * FT_HEADROOM_PER_BOOT_S;
+    boot = MAX (boot, ((const FtMachineType *)g_ptr_array_index (s->catalog->types, i))->boot_s);
+  return boot * s->tuning.headroom_per_boot_s;
 }
 
 static guint
@@ -200,16 +200,37 @@
 
 /* The cheapest pool that has not refused of late; among equals the emptiest,
  * so that a wave that takes one zone's spot machines takes few of ours. */
+/* TRUE if one more spot machine keeps within the operators' share. */
+static gboolean
+spot_allowed (const FtScheduler *s)
+{
+  guint spot = 0, all = 0;
+  GHashTableIter it;
+  gpointer value;
+  if (s->tuning.spot_share >= 1)
+    return TRUE;
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    const FtMachine *m = value;
+    if (m->state == FT_MACHINE_GONE || m->state == FT_MACHINE_RETURNING)
+      continue;
+    all++;
+    spot += m->spot;
+  }
+  return spot + 1 <= s->tuning.spot_share * (all + 1);
+}
+
 static FtPool *
 best_pool (FtScheduler *s, const Need *need)
 {
   FtPool *best = NULL;
   double best_cost = INFINITY;
+  gboolean spot_ok = need->spot && spot_allowed (s);
   for (guint z = 0; need->type->zones != NULL && need->type->zones[z] != NULL; z++) {
     const char *zone = need->type->zones[z];
     if (need->zone != NULL && g_strcmp0 (zone, need->zone) != 0)
       continue;
-    for (int spot = need->spot ? 1 : 0; spot >= 0; spot--) {
+    for (int spot = spot_ok ? 1 : 0; spot >= 0; spot--) {
       FtPool *pool = get_pool (s, need->type->name, zone, spot);
       if (pool->booking != NULL || pool->refused_until > s->now)
         continue;
@@ -230,6 +251,8 @@
   if (pool == NULL || count == 0)
     return;
   pool->asked = MIN (count, FT_RENT_MOST);
+  if (pool->spot && s->tuning.spot_share < 1)
+    pool->asked = 1; /* one at a time, to keep within the share */
   /* The token makes the name unique for ever: no other leadership has it. */
   pool->booking = g_strdup_printf ("flintrack-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, s->token, s->next_booking++);
   pool->retry_at = s->now;
@@ -247,7 +270,7 @@
     double reserve = headroom (s) * supply.in_use;
     double want = need->machines + reserve - supply.free - supply.booting;
     if (want > 0.2)
-      rent (s, need, (guint) ceil (want));
+      rent (s, need, (guint)ceil (want));
   }
 }
 
@@ -265,7 +288,7 @@
 boot_failed (const FtScheduler *s, const FtMachine *machine)
 {
   double boot = machine->type != NULL ? machine->type->boot_s : 60;
-  gint64 limit = (gint64) ((boot * FT_BOOT_FACTOR + FT_BOOT_PLUS_S) * FT_SECOND);
+  gint64 limit = (gint64)((boot * FT_BOOT_FACTOR + FT_BOOT_PLUS_S) * FT_SECOND);
   return machine->state == FT_MACHINE_BOOTING && s->now - machine->rented_at > limit;
 }
 
@@ -280,16 +303,16 @@
   gpointer value;
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
-    FtMachineState state = ((FtMachine *) value)->state;
+    FtMachineState state = ((FtMachine *)value)->state;
     up += state == FT_MACHINE_UP;
     silent += state == FT_MACHINE_SILENT;
   }
-  if (s->now - s->silent_window_at > (gint64) (FT_SILENT_RETURN_WINDOW_S * FT_SECOND)) {
+  if (s->now - s->silent_window_at > (gint64)(FT_SILENT_RETURN_WINDOW_S * FT_SECOND)) {
     s->silent_window_at = s->now;
     s->silent_returned = 0;
   }
-  guint most = MAX (FT_SILENT_RETURN_MIN, (guint) (FT_SILENT_RETURN_SHARE * (up + silent)));
-  gint64 long_silent = (gint64) (2 * s->settings->lease_s * FT_SECOND);
+  guint most = MAX (FT_SILENT_RETURN_MIN, (guint)(FT_SILENT_RETURN_SHARE * (up + silent)));
+  gint64 long_silent = (gint64)(2 * s->settings->lease_s * FT_SECOND);
   return (silent <= up || s->now - machine->last_report > long_silent) && s->silent_returned < most;
 }
 
@@ -322,7 +345,7 @@
     const FtAttempt *a = value;
     gboolean doubt = a->direct_unanswered && !a->shown && !a->exited && a->stop_wanted;
     if (doubt)
-      age = MAX (age, (double) (s->now - a->placed_at) / FT_SECOND);
+      age = MAX (age, (double)(s->now - a->placed_at) / FT_SECOND);
     else
       *others |= !a->exited || a->bound;
   }
@@ -367,9 +390,9 @@
 static gboolean
 returnable (const FtScheduler *s, const FtMachine *m)
 {
-  double idle_s = m->spot ? FT_IDLE_SPOT_S : FT_IDLE_ORDINARY_S;
-  return ft_machine_usable (s, m) && ft_machine_idle (m) && s->now - m->idle_since > (gint64) (idle_s * FT_SECOND)
-         && s->now - m->rented_at > (gint64) (FT_LEAST_CHARGED_S * FT_SECOND) && !m->command_in_flight;
+  double idle_s = m->spot ? s->tuning.idle_spot_s : s->tuning.idle_ordinary_s;
+  return ft_machine_usable (s, m) && ft_machine_idle (m) && s->now - m->idle_since > (gint64)(idle_s * FT_SECOND)
+         && s->now - m->rented_at > (gint64)(FT_LEAST_CHARGED_S * FT_SECOND) && !m->command_in_flight;
 }
 
 static void
@@ -399,7 +422,7 @@
   give_up_machines (s);
   if (!s->may_start || s->now < s->next_fleet || !s->recovered)
     return;
-  s->next_fleet = s->now + (gint64) (FT_FLEET_EVERY_S * FT_SECOND);
+  s->next_fleet = s->now + (gint64)(FT_FLEET_EVERY_S * FT_SECOND);
   plan_rentals (s);
   return_idle (s);
 }
@@ -490,7 +513,7 @@
     g_message ("machine %s: rented by %s", name, call->booking);
   }
   if (call->names->len < pool->asked)
-    pool->refused_until = s->now + (gint64) (FT_REFUSED_PAUSE_S * FT_SECOND);
+    pool->refused_until = s->now + (gint64)(FT_REFUSED_PAUSE_S * FT_SECOND);
   g_clear_pointer (&pool->booking, g_free);
 }
 
@@ -504,7 +527,7 @@
   if (result == FT_CLOUD_OK) {
     rented (s, pool, call);
   } else if (result == FT_CLOUD_REFUSED) {
-    pool->refused_until = s->now + (gint64) (FT_REFUSED_PAUSE_S * FT_SECOND);
+    pool->refused_until = s->now + (gint64)(FT_REFUSED_PAUSE_S * FT_SECOND);
     g_clear_pointer (&pool->booking, g_free);
   } else {
     /* Perhaps carried out: the same booking is repeated until it is answered. */
@@ -521,7 +544,7 @@
     if (m == NULL)
       continue;
     m->return_in_flight = FALSE;
-    m->return_at = s->now + (gint64) (FT_RETURN_RETRY_S * FT_SECOND);
+    m->return_at = s->now + (gint64)(FT_RETURN_RETRY_S * FT_SECOND);
     if (result == FT_CLOUD_OK && m->state != FT_MACHINE_GONE)
       ft_machine_gone (s, m, "returned");
   }
@@ -546,7 +569,7 @@
   if (entry->state == FT_LISTED_FAILED)
     return;
   FtMachine *m = ft_machine_new (s, entry->name, entry->addr, entry->type, entry->zone, entry->spot);
-  m->rented_at = s->now - (gint64) (entry->age_s * FT_SECOND);
+  m->rented_at = s->now - (gint64)(entry->age_s * FT_SECOND);
   m->accounted = TRUE; /* in no roster: never sent a command */
   m->listed_running = entry->state == FT_LISTED_RUNNING;
   g_hash_table_insert (s->machines, m->name, m);
--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -6,6 +6,8 @@
   char *member;
   guint64 incarnation;
   gint64 lease_us, sweep_us, hold_us;
+  gint64 sent_lease_us; /* written by the claim or renewal sent last */
+  double jitter, renew_fraction;
   GRand *random;
   FtLeaseState state;
 
@@ -39,10 +41,27 @@
   lease->lease_us = lease_us;
   lease->sweep_us = sweep_us;
   lease->hold_us = hold_us;
+  lease->jitter = FT_SWEEP_JITTER;
+  lease->renew_fraction = FT_RENEW_FRACTION;
   lease->random = g_rand_new_with_seed (seed);
   return lease;
 }
 
+void
+ft_lease_set_times (FtLease *lease, gint64 lease_us, gint64 sweep_us, double jitter, double renew_fraction)
+{
+  lease->lease_us = lease_us;
+  lease->sweep_us = sweep_us;
+  lease->jitter = jitter;
+  lease->renew_fraction = renew_fraction;
+}
+
+gint64
+ft_lease_time (const FtLease *lease)
+{
+  return lease->lease_us;
+}
+
 void
 ft_lease_free (FtLease *lease)
 {
@@ -92,8 +111,8 @@
     g_warning ("lease %s: refused move %s -> %s", lease->member, state_names[lease->state], state_names[to]);
     return FALSE;
   }
-  g_message ("lease %s: %s -> %s token %" G_GUINT64_FORMAT, lease->member, state_names[lease->state],
-             state_names[to], lease->token);
+  g_message ("lease %s: %s -> %s token %" G_GUINT64_FORMAT, lease->member, state_names[lease->state], state_names[to],
+             lease->token);
   lease->state = to;
   return TRUE;
 }
@@ -101,8 +120,8 @@
 static void
 plan_sweep (FtLease *lease, gint64 now)
 {
-  double jitter = g_rand_double_range (lease->random, 1 - FT_SWEEP_JITTER, 1 + FT_SWEEP_JITTER);
-  lease->next_sweep = now + (gint64) (lease->sweep_us * jitter);
+  double jitter = lease->jitter > 0 ? g_rand_double_range (lease->random, 1 - lease->jitter, 1 + lease->jitter) : 1;
+  lease->next_sweep = now + (gint64)(lease->sweep_us * jitter);
 }
 
 void
@@ -155,7 +174,8 @@
     return FALSE;
   if (lease->seen.fence_stamp == 0 || holder_is_self (lease) || lease->seen.released)
     return TRUE;
-  return now - lease->unrenewed_since > (gint64) (lease->lease_us * (1 + FT_CLOCK_DRIFT));
+  gint64 longest = MAX (lease->lease_us, lease->seen.lease_us);
+  return now - lease->unrenewed_since > (gint64)(longest * (1 + FT_CLOCK_DRIFT));
 }
 
 FtLeaseClaim
@@ -166,6 +186,7 @@
                          .renewal_stamp = lease->seen.renewal_stamp,
                          .check_renewal = !holder_is_self (lease) };
   lease->token = claim.token;
+  lease->sent_lease_us = lease->lease_us;
   lease->valid_until = now;
   set_state (lease, FT_LEASE_ACQUIRING);
   return claim;
@@ -174,10 +195,11 @@
 static void
 extend (FtLease *lease, gint64 sent_at)
 {
-  gint64 margin = (gint64) (FT_LEASE_MARGIN_S * FT_SECOND);
-  lease->valid_until = MAX (lease->valid_until, sent_at + (gint64) (lease->lease_us * (1 - FT_CLOCK_DRIFT)) - margin);
+  gint64 margin = (gint64)(FT_LEASE_MARGIN_S * FT_SECOND);
+  lease->valid_until
+      = MAX (lease->valid_until, sent_at + (gint64)(lease->sent_lease_us * (1 - FT_CLOCK_DRIFT)) - margin);
   lease->last_contact = MAX (lease->last_contact, sent_at);
-  lease->next_renewal = sent_at + (gint64) (lease->lease_us / FT_RENEW_FRACTION);
+  lease->next_renewal = sent_at + (gint64)(lease->lease_us / lease->renew_fraction);
 }
 
 void
@@ -208,7 +230,8 @@
 void
 ft_lease_renew_sent (FtLease *lease, gint64 now)
 {
-  lease->next_renewal = now + (gint64) (lease->lease_us / FT_RENEW_FRACTION);
+  lease->sent_lease_us = lease->lease_us;
+  lease->next_renewal = now + (gint64)(lease->lease_us / lease->renew_fraction);
 }
 
 void
@@ -226,7 +249,7 @@
 void
 ft_lease_renew_failed (FtLease *lease, gint64 now)
 {
-  lease->next_renewal = now + (gint64) (g_rand_double_range (lease->random, 0.2, 0.5) * FT_SECOND);
+  lease->next_renewal = now + (gint64)(g_rand_double_range (lease->random, 0.2, 0.5) * FT_SECOND);
 }
 
 void
@@ -243,7 +266,7 @@
 void
 ft_lease_released (FtLease *lease, gint64 now)
 {
-  lease->abstain_until = now + (gint64) (FT_ABSTAIN_S * FT_SECOND);
+  lease->abstain_until = now + (gint64)(FT_ABSTAIN_S * FT_SECOND);
   ft_lease_lost (lease, now);
 }
 
--- a/src/core/lease.h
+++ b/src/core/lease.h
@@ -23,6 +23,7 @@
   guint64 incarnation;
   guint64 fence_stamp;
   guint64 renewal_stamp;
+  gint64 lease_us;   /* the lease time its holder counts with; 0: unknown */
   gboolean released; /* the holder has given the lease up */
 } FtLeaseRows;
 
@@ -38,6 +39,12 @@
 FtLeaseState ft_lease_state (const FtLease *lease);
 const char *ft_lease_state_name (FtLeaseState state);
 
+/* Changes the times, at any moment: a holder counts with what its last renewal
+ * wrote, and an observer with the longer of its own and what the row says. */
+void ft_lease_set_times (FtLease *lease, gint64 lease_us, gint64 sweep_us, double jitter, double renew_fraction);
+/* The lease time to write into a claim or a renewal sent now. */
+gint64 ft_lease_time (const FtLease *lease);
+
 /* The rows as read by an answer that came at `now`. */
 void ft_lease_observe (FtLease *lease, gint64 now, const FtLeaseRows *rows);
 /* A sweep failed: time without sight of the rows does not count against the holder. */
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -2,6 +2,7 @@
  * belongs to one FtScheduler and dies with it, that is with the leadership. */
 #pragma once
 #include "core/constants.h"
+#include "core/tuning.h"
 #include "core/types.h"
 
 typedef struct _FtJob FtJob;
@@ -60,7 +61,7 @@
 };
 
 typedef enum {
-  FT_MACHINE_BOOTING,   /* rented, not heard from */
+  FT_MACHINE_BOOTING, /* rented, not heard from */
   FT_MACHINE_UP,
   FT_MACHINE_SILENT,    /* was heard, now is not */
   FT_MACHINE_RETURNING, /* gets no starts; the cloud is being told */
@@ -75,21 +76,21 @@
   guint64 session, sequence;
   guint64 lapsed_session; /* sessions up to here are over */
   gint64 rented_at, up_at, last_report, last_answer, idle_since;
-  gint64 notice_until;    /* 0: none */
+  gint64 notice_until; /* 0: none */
   gint64 probe_at;
-  gint64 return_at;       /* earliest next try of a return */
-  gboolean accounted;     /* heard under our token, or certainly empty */
+  gint64 return_at;   /* earliest next try of a return */
+  gboolean accounted; /* heard under our token, or certainly empty */
   gboolean in_roster, roster_in_flight, roster_wanted;
-  gboolean drained;       /* by an operator */
+  gboolean drained; /* by an operator */
   gboolean faulty;
   gboolean listed_running;
   gboolean command_in_flight, return_in_flight;
-  gboolean replied;       /* reported at least once under our token */
+  gboolean replied; /* reported at least once under our token */
   guint failing_jobs;
-  FtJob *last_failed;     /* compared only */
+  FtJob *last_failed;           /* compared only */
   double cpus, gpus, memory_gb; /* taken by attempts not known to be over */
-  GHashTable *attempts;   /* set of FtAttempt, owned */
-  GHashTable *images;     /* names known to be cached */
+  GHashTable *attempts;         /* set of FtAttempt, owned */
+  GHashTable *images;           /* names known to be cached */
 };
 
 struct _FtAttempt {
@@ -99,8 +100,8 @@
   guint index;
   FtMachine *machine;
   guint64 session;
-  gboolean bound;    /* task->attempt is this */
-  gboolean holds;    /* counted in the machine's and the team's use */
+  gboolean bound; /* task->attempt is this */
+  gboolean holds; /* counted in the machine's and the team's use */
   FtTeam *team;
   double cpus, gpus, memory_gb;
   gboolean shown, listed, exited, running, has_image;
@@ -121,7 +122,8 @@
   gint64 now, took_over_at, hold_us;
   GRand *random;
   guint64 next_attempt, next_booking;
-  guint sample_size;
+  FtTuning tuning;
+  GHashTable *drained; /* names drained by operators */
   gboolean loaded, recovered, may_start, dirty;
   gint64 pass;
   FtTeam *teams;
@@ -188,4 +190,3 @@
 /* recovery.c */
 void ft_recovery_tick (FtScheduler *s);
 void ft_recovery_unaccounted (const FtScheduler *s, double *cpus, double *gpus);
-
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -17,12 +17,13 @@
   s->now = s->took_over_at = now;
   s->random = g_rand_new_with_seed (seed);
   s->next_attempt = s->next_booking = 1;
-  s->sample_size = FT_SAMPLE_SIZE;
+  ft_tuning_defaults (&s->tuning);
+  s->drained = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   s->teams = g_new0 (FtTeam, settings->n_teams);
   for (guint i = 0; i < settings->n_teams; i++)
     s->teams[i].limit = &settings->teams[i];
-  s->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) ft_job_free);
-  s->machines = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) ft_machine_free);
+  s->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)ft_job_free);
+  s->machines = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)ft_machine_free);
   s->gone = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   s->pools = ft_fleet_pools_new ();
   s->order = g_ptr_array_new ();
@@ -39,16 +40,23 @@
   g_hash_table_unref (s->jobs);
   g_hash_table_unref (s->machines);
   g_hash_table_unref (s->gone);
+  g_hash_table_unref (s->drained);
   g_hash_table_unref (s->pools);
   g_ptr_array_unref (s->order);
   g_queue_clear_full (&s->roster_drop, g_free);
-  g_queue_clear_full (&s->closing, (GDestroyNotify) ft_write_free);
+  g_queue_clear_full (&s->closing, (GDestroyNotify)ft_write_free);
   g_rand_free (s->random);
   ft_catalog_unref (s->catalog);
   g_free (s->teams);
   g_free (s);
 }
 
+void
+ft_scheduler_set_tuning (FtScheduler *s, const FtTuning *tuning)
+{
+  s->tuning = *tuning;
+}
+
 void
 ft_scheduler_set_catalog (FtScheduler *s, FtCatalog *catalog)
 {
@@ -76,7 +84,7 @@
   FtJob *job = ft_job_new (spec, ft_quota_team (s, spec->team), stamp, initial);
   gint64 age_us = MAX (0, wall_ms - spec->submitted_wall_ms) * 1000;
   job->accepted_at = s->now - age_us;
-  job->deadline_at = spec->deadline_s > 0 ? job->accepted_at + (gint64) (spec->deadline_s * FT_SECOND) : 0;
+  job->deadline_at = spec->deadline_s > 0 ? job->accepted_at + (gint64)(spec->deadline_s * FT_SECOND) : 0;
   s->open_tasks += spec->tasks;
   s->dirty = TRUE;
   g_hash_table_insert (s->jobs, spec->ref, job);
@@ -208,7 +216,7 @@
   gpointer value;
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
-    FtMachineState state = ((FtMachine *) value)->state;
+    FtMachineState state = ((FtMachine *)value)->state;
     n += state == FT_MACHINE_UP || state == FT_MACHINE_SILENT;
   }
   return n;
@@ -225,7 +233,7 @@
   task->fails = MIN (task->fails + 1, 20);
   task->avoid = machine;
   double pause = MIN (FT_RETRY_FIRST_S * (1u << MIN (task->fails - 1, 10)), FT_RETRY_LONGEST_S);
-  task->not_before = s->now + (gint64) (pause * FT_SECOND);
+  task->not_before = s->now + (gint64)(pause * FT_SECOND);
   if (why != FT_WHY_ERROR)
     return;
   /* One job that fails everywhere is its owner's mistake; different jobs that
@@ -262,7 +270,7 @@
   if (a->bound) {
     /* Its room is somebody else's for the moment: it does not take it back at once. */
     if (why == FT_WHY_STOPPED && a->stop_wanted && machine->notice_until == 0)
-      a->job->tasks[a->index].not_before = s->now + (gint64) (FT_PREEMPTED_PAUSE_S * FT_SECOND);
+      a->job->tasks[a->index].not_before = s->now + (gint64)(FT_PREEMPTED_PAUSE_S * FT_SECOND);
     gboolean blameless = why == FT_WHY_STOPPED || why == FT_WHY_PEERS || why == FT_WHY_ALONE;
     if (!blameless && a->job->state == FT_JOB_OPEN)
       task_failed (s, a, why);
@@ -302,8 +310,8 @@
   a->shown = a->listed = TRUE;
   a->placed_at = s->now;
   gboolean open = job != NULL && job->state == FT_JOB_OPEN;
-  gboolean free_task = open && task->attempt == NULL
-                       && (task->state == FT_TASK_UNKNOWN || task->state == FT_TASK_QUEUED);
+  gboolean free_task
+      = open && task->attempt == NULL && (task->state == FT_TASK_UNKNOWN || task->state == FT_TASK_QUEUED);
   if (t->state == FT_REPORTED_EXITED) {
     a->exited = TRUE;
     a->forget_ok = !(free_task && t->why == FT_WHY_DONE);
@@ -315,8 +323,7 @@
   ft_attempt_hold (a);
   if (free_task) {
     ft_attempt_bind (a, FT_TASK_FETCHING);
-  } else if (job != NULL && job->state == FT_JOB_WITHDRAWN && task->attempt == NULL
-             && task->state == FT_TASK_UNKNOWN) {
+  } else if (job != NULL && job->state == FT_JOB_WITHDRAWN && task->attempt == NULL && task->state == FT_TASK_UNKNOWN) {
     ft_attempt_bind (a, FT_TASK_FETCHING);
     ft_attempt_want_stop (a, 0);
   } else {
@@ -382,12 +389,12 @@
 {
   g_autoptr (GList) before = g_hash_table_get_values (machine->attempts);
   for (GList *l = before; l != NULL; l = l->next)
-    ((FtAttempt *) l->data)->listed = FALSE;
+    ((FtAttempt *)l->data)->listed = FALSE;
   for (guint i = 0; i < report->tasks->len; i++)
     apply_task (s, machine, &g_array_index (report->tasks, FtReportedTask, i));
   g_autoptr (GList) after = g_hash_table_get_values (machine->attempts);
   for (GList *l = after; l != NULL; l = l->next)
-    if (!((FtAttempt *) l->data)->listed)
+    if (!((FtAttempt *)l->data)->listed)
       apply_absence (s, l->data, report, is_report);
 }
 
@@ -401,7 +408,7 @@
   if (machine->notice_until == 0)
     g_message ("machine %s: notice, taken in %.1f s", machine->name, notice_s);
   gboolean first = machine->notice_until == 0;
-  machine->notice_until = s->now + (gint64) (notice_s * FT_SECOND);
+  machine->notice_until = s->now + (gint64)(notice_s * FT_SECOND);
   if (!first)
     return;
   g_autoptr (GList) all = g_hash_table_get_values (machine->attempts);
@@ -410,7 +417,7 @@
     if (!a->bound || a->exited)
       continue;
     const FtJobSpec *spec = a->job->spec;
-    double ran = a->running ? (double) (s->now - a->running_at) / FT_SECOND : 0;
+    double ran = a->running ? (double)(s->now - a->running_at) / FT_SECOND : 0;
     if (spec->checkpoint_s > 0 && a->running)
       ft_attempt_want_stop (a, spec->save_s);
     else if (ran + notice_s < 0.6 * spec->estimate_s)
@@ -568,7 +575,7 @@
   if (machine->command_in_flight || machine->addr == NULL)
     return NULL;
   if (!machine->accounted && s->now >= machine->probe_at && machine->state != FT_MACHINE_GONE) {
-    machine->probe_at = s->now + (gint64) (FT_PROBE_EVERY_S * FT_SECOND);
+    machine->probe_at = s->now + (gint64)(FT_PROBE_EVERY_S * FT_SECOND);
     return direct_new (machine, ft_commands_new ());
   }
   if (machine->state != FT_MACHINE_UP || !machine->accounted || machine->session <= machine->lapsed_session)
@@ -675,7 +682,7 @@
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     FtMachine *machine = value;
-    machine->last_report = now; /* silence counts from here */
+    machine->last_report = now;                             /* silence counts from here */
     machine->last_answer = MAX (machine->last_answer, now); /* it may have been answered while we read */
     if (machine->state == FT_MACHINE_BOOTING && machine->in_roster)
       ft_machine_set_state (machine, FT_MACHINE_UP);
@@ -694,7 +701,7 @@
 static gint64
 seconds (double s)
 {
-  return (gint64) (s * FT_SECOND);
+  return (gint64)(s * FT_SECOND);
 }
 
 static void
@@ -768,6 +775,8 @@
     return 2 + (write->chunk > 0); /* the row, the index, the first chunk */
   case FT_WRITE_JOB_GONE:
     return 3;
+  case FT_WRITE_ROSTER_DROP:
+    return 2; /* the row, and an operator's mark on it */
   default:
     return 1;
   }
@@ -819,7 +828,10 @@
   }
   while (batch->left > 0 && !g_queue_is_empty (&s->roster_drop)) {
     g_autofree char *name = g_queue_pop_head (&s->roster_drop);
-    batch_add (batch, write_new (FT_WRITE_ROSTER_DROP, name));
+    if (batch_add (batch, write_new (FT_WRITE_ROSTER_DROP, name)))
+      continue;
+    g_queue_push_head (&s->roster_drop, g_steal_pointer (&name));
+    break;
   }
 }
 
@@ -869,7 +881,7 @@
 ft_scheduler_next_writes (FtScheduler *s, guint ops, gint64 now)
 {
   s->now = now;
-  Batch batch = { g_ptr_array_new_with_free_func ((GDestroyNotify) ft_write_free), ops };
+  Batch batch = { g_ptr_array_new_with_free_func ((GDestroyNotify)ft_write_free), ops };
   if (!s->loaded)
     return batch.writes;
   add_roster (s, &batch);
@@ -1098,10 +1110,20 @@
 ft_scheduler_drain (FtScheduler *s, const char *name, gboolean drain)
 {
   FtMachine *machine = g_hash_table_lookup (s->machines, name);
+  if (drain)
+    g_hash_table_add (s->drained, g_strdup (name));
+  else
+    g_hash_table_remove (s->drained, name);
+  g_message ("machine %s: %s", name, drain ? "drained" : "undrained");
   if (machine == NULL)
     return FALSE;
-  g_message ("machine %s: %s", name, drain ? "drained" : "undrained");
   machine->drained = drain;
   s->dirty = TRUE;
   return TRUE;
 }
+
+gboolean
+ft_scheduler_knows (const FtScheduler *s, const char *name)
+{
+  return g_hash_table_contains (s->machines, name);
+}
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -5,6 +5,7 @@
  * microseconds of the steady clock; walls are milliseconds of the time of day.
  * Strings and arrays passed in stay the caller's unless said otherwise. */
 #pragma once
+#include "core/tuning.h"
 #include "core/types.h"
 
 typedef struct _FtScheduler FtScheduler;
@@ -14,12 +15,15 @@
 void ft_scheduler_free (FtScheduler *s);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (FtScheduler, ft_scheduler_free)
 
+/* Operators' settings; copied. */
+void ft_scheduler_set_tuning (FtScheduler *s, const FtTuning *tuning);
+
 /* ---- recovery: rows of the store, then loaded ---- */
 /* Takes the spec. */
 void ft_scheduler_load_job (FtScheduler *s, FtJobSpec *spec, guint64 stamp, gint64 now, gint64 wall_ms);
 void ft_scheduler_load_done (FtScheduler *s, const char *ref, guint chunk, const char *bits);
-void ft_scheduler_load_machine (FtScheduler *s, const char *name, const char *addr, const char *type,
-                                const char *zone, gboolean spot);
+void ft_scheduler_load_machine (FtScheduler *s, const char *name, const char *addr, const char *type, const char *zone,
+                                gboolean spot);
 void ft_scheduler_loaded (FtScheduler *s, gint64 now);
 gboolean ft_scheduler_is_loaded (const FtScheduler *s);
 
@@ -79,10 +83,10 @@
 typedef enum {
   FT_WRITE_ROSTER_ADD,
   FT_WRITE_ROSTER_DROP,
-  FT_WRITE_CHUNK,      /* a chunk of a job's done-set */
+  FT_WRITE_CHUNK, /* a chunk of a job's done-set */
   FT_WRITE_CHUNK_DROP,
-  FT_WRITE_JOB_DONE,   /* conditional on the job's stamp */
-  FT_WRITE_JOB_GONE,   /* all tasks of a withdrawn job are gone */
+  FT_WRITE_JOB_DONE, /* conditional on the job's stamp */
+  FT_WRITE_JOB_GONE, /* all tasks of a withdrawn job are gone */
 } FtWriteKind;
 typedef struct {
   FtWriteKind kind;
@@ -122,4 +126,6 @@
 void ft_scheduler_each_machine (FtScheduler *s, FtMachineVisitor visit, gpointer data);
 typedef void (*FtTeamVisitor) (const FtTeamLimit *limit, double cpus, double gpus, gpointer data);
 void ft_scheduler_each_team (FtScheduler *s, FtTeamVisitor visit, gpointer data);
+gboolean ft_scheduler_knows (const FtScheduler *s, const char *machine);
+/* Remembered by name, also for a machine not known yet. FALSE: not known now. */
 gboolean ft_scheduler_drain (FtScheduler *s, const char *machine, gboolean drain);
--- a/src/core/task.c
+++ b/src/core/task.c
@@ -1,7 +1,7 @@
 #include "core/model.h"
 
-static const char *const names[] = { "unknown", "queued",   "starting", "fetching", "running",
-                                     "saving",  "finished", "done",     "dropped" };
+static const char *const names[]
+    = { "unknown", "queued", "starting", "fetching", "running", "saving", "finished", "done", "dropped" };
 
 const char *
 ft_task_state_name (FtTaskState state)
--- /dev/null
+++ b/src/core/tuning.c
@@ -0,0 +1,75 @@
+#include "core/tuning.h"
+
+#include "core/constants.h"
+
+static const char *const log_choices[] = FT_LOG_CHOICES;
+
+#define ROW(name, field, unit, least, most, standard, what)                                                            \
+  { name, unit, what, least, most, standard, offsetof (FtTuning, field), NULL },
+
+static FtTuningInfo table[] = { FT_OPERATOR_SETTINGS (ROW) };
+
+const FtTuningInfo *
+ft_tuning_table (guint *n)
+{
+  *n = G_N_ELEMENTS (table);
+  for (guint i = 0; i < G_N_ELEMENTS (table); i++)
+    if (g_str_equal (table[i].unit, "choice"))
+      table[i].choices = log_choices;
+  return table;
+}
+
+const FtTuningInfo *
+ft_tuning_find (const char *name)
+{
+  guint n;
+  const FtTuningInfo *all = ft_tuning_table (&n);
+  for (guint i = 0; i < n; i++)
+    if (g_strcmp0 (all[i].name, name) == 0)
+      return &all[i];
+  return NULL;
+}
+
+double
+ft_tuning_get (const FtTuning *tuning, const FtTuningInfo *info)
+{
+  return G_STRUCT_MEMBER (double, tuning, info->offset);
+}
+
+void
+ft_tuning_set (FtTuning *tuning, const FtTuningInfo *info, double value)
+{
+  G_STRUCT_MEMBER (double, tuning, info->offset) = value;
+}
+
+void
+ft_tuning_defaults (FtTuning *tuning)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (table); i++)
+    ft_tuning_set (tuning, &table[i], table[i].standard);
+}
+
+gint64
+ft_tuning_hold (const FtSettings *s)
+{
+  double hold = s->cancel_s - s->lease_s - FT_HOLD_MARGIN_S - s->cancel_s * FT_CLOCK_DRIFT;
+  return (gint64)(MAX (hold, 0) * FT_SECOND);
+}
+
+char *
+ft_tuning_check (const FtTuning *t, const FtSettings *settings)
+{
+  double hold = (double)ft_tuning_hold (settings) / FT_SECOND;
+  if (t->lease_s > MAX (hold, FT_LEASE_S))
+    return g_strdup_printf ("lease_time above %.1f s: a leader without the state service could start tasks of jobs "
+                            "whose withdrawal it cannot see in time",
+                            MAX (hold, FT_LEASE_S));
+  double after = t->lease_s - t->lease_s / t->renew_fraction - FT_LEASE_MARGIN_S;
+  if (after < FT_RENEW_SLACK_S)
+    return g_strdup_printf ("lease_time and renewal_fraction leave %.2f s after a renewal that is lost; %.2f s are "
+                            "needed, or a healthy leader loses its lease",
+                            after, FT_RENEW_SLACK_S);
+  if (t->sweep_s > t->lease_s)
+    return g_strdup ("sweep_period is longer than lease_time: a takeover would wait for the sweep");
+  return NULL;
+}
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -64,8 +64,8 @@
   char *zone;  /* NULL: any */
   gboolean one_zone, spread, spot;
   double estimate_s, checkpoint_s, save_s;
-  double deadline_s;         /* from the submission; 0: none */
-  gint64 submitted_wall_ms;  /* wall time of the acceptance */
+  double deadline_s;        /* from the submission; 0: none */
+  gint64 submitted_wall_ms; /* wall time of the acceptance */
 } FtJobSpec;
 
 void ft_job_spec_free (FtJobSpec *spec);
--- a/src/net/admin.c
+++ b/src/net/admin.c
@@ -1,9 +1,382 @@
-/* The administration API, on the mesh listener only. */
+/* The administration API, on the mesh listener only; users never reach it.
+ * Reads answer with what this node knows; what only the leader knows is
+ * answered with 421 and the leader's name and address elsewhere. */
+#include <math.h>
+#include <string.h>
+
+#include "core/constants.h"
+#include "log.h"
 #include "net/node.h"
+#include "wire/store.h"
+
+static void refuse (FtHttpRequest *request, guint status, const char *format, ...) G_GNUC_PRINTF (3, 4);
+
+static void
+refuse (FtHttpRequest *request, guint status, const char *format, ...)
+{
+  va_list args;
+  va_start (args, format);
+  g_autofree char *text = g_strdup_vprintf (format, args);
+  va_end (args);
+  ft_http_respond (request, status, json_pack ("{s:s}", "error", text));
+}
+
+/* ---- reads ---- */
+
+static const char *
+leader_name (const FtNode *node)
+{
+  if (node->scheduler != NULL)
+    return node->config->member;
+  return node->mesh_leader != NULL ? node->mesh_leader : ft_lease_holder (node->lease);
+}
+
+static const char *
+peer_addr (const FtNode *node, const char *member)
+{
+  for (guint i = 0; i < node->config->peers->len; i++) {
+    const FtPeer *peer = &g_array_index (node->config->peers, FtPeer, i);
+    if (g_strcmp0 (peer->member, member) == 0)
+      return peer->addr;
+  }
+  return NULL;
+}
+
+static json_t *
+peers_body (const FtNode *node, gint64 now)
+{
+  json_t *list = json_array ();
+  for (guint i = 0; i < node->peers->len; i++) {
+    const FtPeerView *view = &g_array_index (node->peers, FtPeerView, i);
+    json_array_append_new (
+        list, json_pack ("{s:s, s:s, s:o}", "member", view->peer->member, "addr", view->peer->addr, "heard_s_ago",
+                         view->heard_at > 0 ? json_real (round ((double)(now - view->heard_at) / 10000) / 100)
+                                            : json_null ()));
+  }
+  return list;
+}
+
+static void
+get_status (FtNode *node, FtHttpRequest *request)
+{
+  gint64 now = g_get_monotonic_time ();
+  json_t *body
+      = json_pack ("{s:s, s:s, s:b, s:b, s:s, s:s?, s:I, s:b, s:i, s:o}", "member", node->config->member, "version",
+                   FT_VERSION, "ready", ft_node_ready (node, now), "state_service", ft_state_contact (node->state, now),
+                   "lease", ft_lease_state_name (ft_lease_state (node->lease)), "leader", leader_name (node), "token",
+                   (json_int_t)(node->scheduler != NULL ? ft_lease_token (node->lease) : node->mesh_token), "recovered",
+                   node->scheduler != NULL && ft_scheduler_is_loaded (node->scheduler), "user_connections",
+                   (int)ft_http_server_connections (node->front), "peers", peers_body (node, now));
+  if (node->scheduler != NULL)
+    json_object_set_new (body, "lease_age_s", json_real ((double)(now - node->led_since) / FT_SECOND));
+  ft_http_respond (request, 200, body);
+}
+
+static void
+add_team (const FtTeamLimit *limit, double cpus, double gpus, gpointer data)
+{
+  json_array_append_new (data, json_pack ("{s:s, s:f, s:f, s:f, s:f, s:f, s:f}", "name", limit->name, "cpus", cpus,
+                                          "cpus_guaranteed", limit->cpus, "cpus_max", limit->cpus_max, "gpus", gpus,
+                                          "gpus_guaranteed", limit->gpus, "gpus_max", limit->gpus_max));
+}
+
+static void
+add_job (const char *ref, const char *job_class, const char *state, guint tasks, guint done, guint running,
+         const char *waits_for, gpointer data)
+{
+  json_array_append_new (data, json_pack ("{s:s, s:s, s:s, s:i, s:i, s:i, s:s}", "job", ref, "class", job_class,
+                                          "state", state, "tasks", (int)tasks, "done", (int)done, "running",
+                                          (int)running, "waits_for", waits_for));
+}
+
+static void
+add_waiting (const char *ref, const char *job_class, const char *state, guint tasks, guint done, guint running,
+             const char *waits_for, gpointer data)
+{
+  if (*waits_for != '\0')
+    add_job (ref, job_class, state, tasks, done, running, waits_for, data);
+}
+
+static void
+add_machine (const char *name, const char *state, const char *type, const char *zone, gboolean spot, guint64 session,
+             guint tasks, const char *unused_why, gpointer data)
+{
+  json_array_append_new (data, json_pack ("{s:s, s:s, s:s, s:s, s:s, s:I, s:i, s:s}", "machine", name, "state", state,
+                                          "type", type, "zone", zone, "kind", spot ? "spot" : "ordinary", "session",
+                                          (json_int_t)session, "tasks", (int)tasks, "not_used_because", unused_why));
+}
+
+static void
+get_list (FtNode *node, FtHttpRequest *request, const char *what)
+{
+  json_t *list = json_array ();
+  if (strcmp (what, "teams") == 0)
+    ft_scheduler_each_team (node->scheduler, add_team, list);
+  else if (strcmp (what, "jobs") == 0)
+    ft_scheduler_each_job (node->scheduler, add_job, list);
+  else if (strcmp (what, "queue") == 0)
+    ft_scheduler_each_job (node->scheduler, add_waiting, list);
+  else
+    ft_scheduler_each_machine (node->scheduler, add_machine, list);
+  ft_http_respond (request, 200, json_pack ("{s:o}", what, list));
+}
+
+/* ---- settings ---- */
+
+typedef struct {
+  FtNode *node;
+  FtHttpRequest *request;
+  char *machine;
+  gboolean drain;
+  FtTuning tuning; /* to be in force once committed */
+} AdminCall;
+
+static void
+admin_call_free (AdminCall *call)
+{
+  g_free (call->machine);
+  g_free (call);
+}
+
+static json_t *
+settings_body (const FtTuning *tuning, guint64 version)
+{
+  guint n;
+  const FtTuningInfo *all = ft_tuning_table (&n);
+  json_t *list = json_array ();
+  for (guint i = 0; i < n; i++) {
+    json_t *item
+        = json_pack ("{s:s, s:o, s:s, s:f, s:f, s:s}", "name", all[i].name, "value", ft_setting_value (tuning, &all[i]),
+                     "unit", all[i].unit, "least", all[i].least, "most", all[i].most, "what", all[i].what);
+    FtTuning standard;
+    ft_tuning_defaults (&standard);
+    json_object_set_new (item, "default", ft_setting_value (&standard, &all[i]));
+    json_array_append_new (list, item);
+  }
+  return json_pack ("{s:I, s:o}", "version", (json_int_t)version, "settings", list);
+}
+
+void
+ft_node_apply_settings (FtNode *node, const FtTuning *tuning, guint64 version)
+{
+  if (version == node->settings_version && version != 0)
+    return;
+  node->tuning = *tuning;
+  node->settings_version = version;
+  ft_lease_set_times (node->lease, (gint64)(tuning->lease_s * FT_SECOND), (gint64)(tuning->sweep_s * FT_SECOND),
+                      tuning->sweep_jitter, tuning->renew_fraction);
+  if (node->scheduler != NULL)
+    ft_scheduler_set_tuning (node->scheduler, tuning);
+  const char *const choices[] = FT_LOG_CHOICES;
+  guint level = (guint)tuning->log_level;
+  const char *environment = g_getenv ("LOG_LEVEL");
+  ft_log_set_level (level > 0 ? choices[level] : environment != NULL ? environment : "error");
+  g_message ("node %s: operators' settings of version %" G_GUINT64_FORMAT, node->config->member, version);
+}
+
+static void
+on_settings (guint status, const json_t *body, gpointer data)
+{
+  FtNode *node = data;
+  FtTuning tuning;
+  FtRow row;
+  node->settings_in_flight = FALSE;
+  if (status != 200 || !ft_store_row (body, &row))
+    return;
+  ft_row_settings_parse (row.value, &tuning);
+  g_autofree char *why = ft_tuning_check (&tuning, &node->config->core);
+  if (why != NULL)
+    g_warning ("node %s: stored settings not used: %s", node->config->member, why);
+  else
+    ft_node_apply_settings (node, &tuning, row.stamp);
+}
+
+void
+ft_admin_tick (FtNode *node, gint64 now)
+{
+  if (now < node->next_settings || node->settings_in_flight)
+    return;
+  node->next_settings = now + (gint64)(FT_SETTINGS_EVERY_S * FT_SECOND);
+  node->settings_in_flight = TRUE;
+  ft_state_get (node->state, FT_KEY_SETTINGS, FT_STATE_READ, on_settings, node);
+}
+
+static void
+on_put (guint status, const json_t *body, gpointer data)
+{
+  AdminCall *call = data;
+  guint64 stamp;
+  if (status == 200 && ft_store_revision (body, &stamp)) {
+    ft_node_apply_settings (call->node, &call->tuning, stamp);
+    ft_http_respond (call->request, 200, settings_body (&call->tuning, stamp));
+  } else if (status == 409) {
+    call->node->next_settings = 0; /* see the change at once */
+    refuse (call->request, 409, "the settings have changed meanwhile: read them again");
+  } else {
+    refuse (call->request, 503, "the state service did not confirm the change: read the settings again");
+  }
+  admin_call_free (call);
+}
+
+/* Reads {"version":N,"set":{name:value,...}}; null sets a default. */
+static gboolean
+read_change (FtNode *node, FtHttpRequest *request, FtTuning *tuning, guint64 *version)
+{
+  const json_t *body = ft_http_body (request);
+  const json_t *stated = json_object_get (body, "version"), *set = json_object_get (body, "set");
+  const char *name;
+  json_t *value;
+  if (!json_is_integer (stated) || json_integer_value (stated) < 0 || !json_is_object (set)) {
+    refuse (request, 400, "needed: {\"version\": N, \"set\": {NAME: VALUE}}");
+    return FALSE;
+  }
+  *version = (guint64)json_integer_value (stated);
+  *tuning = node->tuning;
+  json_object_foreach ((json_t *)set, name, value)
+  {
+    const FtTuningInfo *info = ft_tuning_find (name);
+    double number = info != NULL ? info->standard : 0;
+    if (info == NULL) {
+      refuse (request, 404, "there is no setting %s", name);
+      return FALSE;
+    }
+    if (!json_is_null (value) && !ft_setting_parse (info, value, &number)) {
+      refuse (request, 422, "%s: from %g to %g %s", name, info->least, info->most, info->unit);
+      return FALSE;
+    }
+    ft_tuning_set (tuning, info, number);
+  }
+  return TRUE;
+}
+
+static void
+put_settings (FtNode *node, FtHttpRequest *request)
+{
+  FtTuning tuning;
+  guint64 version;
+  if (!read_change (node, request, &tuning, &version))
+    return;
+  if (version != node->settings_version) {
+    refuse (request, 409, "the settings are at version %" G_GUINT64_FORMAT, node->settings_version);
+    return;
+  }
+  g_autofree char *why = ft_tuning_check (&tuning, &node->config->core);
+  if (why != NULL) {
+    refuse (request, 422, "%s", why);
+    return;
+  }
+  if (!ft_state_contact (node->state, g_get_monotonic_time ())) {
+    refuse (request, 503, "the state service does not answer");
+    return;
+  }
+  guint n;
+  const FtTuningInfo *all = ft_tuning_table (&n);
+  json_t *row = json_object (), *txn = ft_txn_new ();
+  for (guint i = 0; i < n; i++)
+    json_object_set_new (row, all[i].name, ft_setting_value (&tuning, &all[i]));
+  ft_txn_if (txn, FT_KEY_SETTINGS, version);
+  ft_txn_put (txn, FT_KEY_SETTINGS, row);
+  AdminCall *call = g_new0 (AdminCall, 1);
+  call->node = node;
+  call->request = request;
+  call->tuning = tuning;
+  ft_state_commit (node->state, txn, FT_STATE_COMMIT, on_put, call);
+  json_decref (txn);
+}
+
+/* ---- drains ---- */
+
+static void
+on_drained (guint status, const json_t *body, gpointer data)
+{
+  AdminCall *call = data;
+  (void)body;
+  if (status != 200) {
+    refuse (call->request, 503, "the state service did not confirm the change: try again");
+  } else {
+    if (call->node->scheduler != NULL)
+      ft_scheduler_drain (call->node->scheduler, call->machine, call->drain);
+    ft_http_respond (call->request, 200, json_pack ("{s:s, s:b}", "machine", call->machine, "drained", call->drain));
+  }
+  admin_call_free (call);
+}
+
+static void
+set_drain (FtNode *node, FtHttpRequest *request, const char *machine, gboolean drain)
+{
+  if (drain && !ft_scheduler_knows (node->scheduler, machine)) {
+    refuse (request, 404, "there is no machine %s", machine);
+    return;
+  }
+  AdminCall *call = g_new0 (AdminCall, 1);
+  call->node = node;
+  call->request = request;
+  call->machine = g_strdup (machine);
+  call->drain = drain;
+  g_autofree char *key = ft_key_drained (machine);
+  json_t *txn = ft_txn_new ();
+  ft_txn_if (txn, FT_KEY_FENCE, ft_lease_fence_stamp (node->lease));
+  if (drain)
+    ft_txn_put (txn, key, json_object ());
+  else
+    ft_txn_delete (txn, key);
+  ft_state_commit (node->state, txn, FT_STATE_COMMIT, on_drained, call);
+  json_decref (txn);
+}
+
+/* ---- routes ---- */
+
+/* What only a recovered leader can answer; FALSE if the answer is given. */
+static gboolean
+need_leader (FtNode *node, FtHttpRequest *request)
+{
+  if (node->scheduler != NULL && ft_scheduler_is_loaded (node->scheduler))
+    return TRUE;
+  const char *leader = leader_name (node);
+  const char *addr = leader != NULL ? peer_addr (node, leader) : NULL;
+  if (addr != NULL)
+    ft_http_respond (request, 421,
+                     json_pack ("{s:s, s:s, s:s}", "error", "this node does not lead", "leader", leader, "addr", addr));
+  else
+    refuse (request, 503, "no leader is known at the moment");
+  return FALSE;
+}
+
+static void
+handle_get (FtNode *node, FtHttpRequest *request, const char *what)
+{
+  const char *const lists[] = { "teams", "jobs", "queue", "machines", NULL };
+  if (strcmp (what, "status") == 0)
+    get_status (node, request);
+  else if (strcmp (what, "metrics") == 0)
+    ft_http_respond (request, 200, ft_metrics_body (node->metrics));
+  else if (strcmp (what, "settings") == 0)
+    ft_http_respond (request, 200, settings_body (&node->tuning, node->settings_version));
+  else if (!g_strv_contains (lists, what))
+    refuse (request, 404, "there is no /admin/%s", what);
+  else if (need_leader (node, request))
+    get_list (node, request, what);
+}
 
 void
 ft_admin_handle (FtNode *node, FtHttpRequest *request)
 {
-  (void) node;
-  ft_http_respond (request, 404, NULL);
+  const char *method = ft_http_method (request);
+  g_auto (GStrv) parts = g_strsplit (ft_http_path (request) + strlen ("/admin/"), "/", 4);
+  guint n = g_strv_length (parts);
+  gboolean drain = n == 3 && strcmp (parts[2], "drain") == 0;
+  gboolean undrain = n == 3 && strcmp (parts[2], "undrain") == 0;
+  if (n == 1 && strcmp (method, "GET") == 0)
+    handle_get (node, request, parts[0]);
+  else if (n == 1 && strcmp (parts[0], "settings") == 0 && strcmp (method, "PUT") == 0)
+    put_settings (node, request);
+  else if (strcmp (parts[0] != NULL ? parts[0] : "", "machines") == 0 && (drain || undrain)) {
+    if (strcmp (method, "POST") != 0)
+      refuse (request, 405, "use POST");
+    else if (need_leader (node, request))
+      set_drain (node, request, parts[1], drain);
+  } else if (n == 1)
+    refuse (request, 405, "use GET, or PUT for settings");
+  else
+    refuse (request, 404, "there is no such path");
 }
--- a/src/net/leader.c
+++ b/src/net/leader.c
@@ -69,7 +69,7 @@
 try_again (Call *call, void (*again) (Call *call))
 {
   call->again = again;
-  g_timeout_add ((guint) (FT_BACKOFF_FIRST_S * 1000), on_again, call);
+  g_timeout_add ((guint)(FT_BACKOFF_FIRST_S * 1000), on_again, call);
 }
 
 static gint64
@@ -81,7 +81,8 @@
 static gint64
 soon (FtNode *node)
 {
-  return g_get_monotonic_time () + (gint64) (g_rand_double_range (node->random, 0.5, 1.5) * FT_BACKOFF_FIRST_S * FT_SECOND);
+  return g_get_monotonic_time ()
+         + (gint64)(g_rand_double_range (node->random, 0.5, 1.5) * FT_BACKOFF_FIRST_S * FT_SECOND);
 }
 
 /* ---- recovery: jobs, done-sets, roster ---- */
@@ -117,6 +118,8 @@
   if (g_str_has_prefix (row->key, FT_PREFIX_OPEN)) {
     /* After a watch that fell behind, only jobs accepted meanwhile are new. */
     load_open_row (node, row, ft_scheduler_is_loaded (node->scheduler));
+  } else if (ft_key_drained_name (row->key) != NULL) {
+    ft_scheduler_drain (node->scheduler, ft_key_drained_name (row->key), TRUE);
   } else if (g_str_has_prefix (row->key, FT_PREFIX_ROSTER)) {
     if (!ft_row_machine_parse (node->scheduler, row))
       g_warning ("machine %s: its row cannot be read", row->key);
@@ -131,9 +134,12 @@
   if (strcmp (prefix, FT_PREFIX_OPEN) == 0 && !ft_scheduler_is_loaded (node->scheduler)) {
     load_next (node, FT_PREFIX_DONE, NULL);
   } else if (strcmp (prefix, FT_PREFIX_DONE) == 0) {
+    load_next (node, FT_PREFIX_DRAINED, NULL);
+  } else if (strcmp (prefix, FT_PREFIX_DRAINED) == 0) {
     load_next (node, FT_PREFIX_ROSTER, NULL);
   } else {
     ft_scheduler_loaded (node->scheduler, g_get_monotonic_time ());
+    ft_metrics_time (node->metrics, FT_TIME_RECOVERY, g_get_monotonic_time () - node->led_since);
     node->last_watch = g_get_monotonic_time ();
     node->next_watch = 0;
     g_message ("node %s: leader under token %" G_GUINT64_FORMAT ", recovered the store", node->config->member,
@@ -251,11 +257,11 @@
     return;
   }
   g_autoptr (Call) owned = call;
-  if ((guint64) json_integer_value (json_object_get (row.value, "token")) != ft_lease_token (node->lease)) {
+  if ((guint64)json_integer_value (json_object_get (row.value, "token")) != ft_lease_token (node->lease)) {
     ft_node_step_down (node, "the journal is another leader's");
     return;
   }
-  gboolean applied = (guint64) json_integer_value (json_object_get (row.value, "batch")) == call->batch;
+  gboolean applied = (guint64)json_integer_value (json_object_get (row.value, "batch")) == call->batch;
   node->journal_stamp = row.stamp;
   batch_over (node, call, applied, NULL);
 }
@@ -329,6 +335,8 @@
     return;
   if (status == 200 && ft_store_revision (body, &stamp)) {
     node->journal_stamp = stamp;
+    ft_metrics_count (node->metrics, FT_COUNT_BATCHES);
+    ft_metrics_time (node->metrics, FT_TIME_BATCH, g_get_monotonic_time () - call->sent_at);
     batch_over (node, call, TRUE, NULL);
   } else if (status == 409) {
     batch_refused (node, call, body);
@@ -336,6 +344,7 @@
     node->next_batch = soon (node);
     batch_over (node, call, FALSE, NULL);
   } else {
+    ft_metrics_count (node->metrics, FT_COUNT_BATCHES_UNCERTAIN);
     read_journal (g_steal_pointer (&call));
   }
 }
@@ -378,6 +387,10 @@
   FtDirectResult result = status == 200 && report != NULL   ? FT_DIRECT_OK
                           : status == 409 && report != NULL ? FT_DIRECT_CONFLICT
                                                             : FT_DIRECT_UNANSWERED;
+  if (result == FT_DIRECT_UNANSWERED)
+    ft_metrics_count (node->metrics, FT_COUNT_DIRECT_UNANSWERED);
+  else
+    ft_metrics_time (node->metrics, FT_TIME_DIRECT, g_get_monotonic_time () - call->sent_at);
   if (!ft_scheduler_direct_done (node->scheduler, call->direct, result, report, g_get_monotonic_time ())) {
     ft_node_step_down (node, "a worker has seen a higher token");
     return;
@@ -468,9 +481,8 @@
 list_machines (FtNode *node, GArray *list)
 {
   const char *last = list->len > 0 ? g_array_index (list, FtListedMachine, list->len - 1).name : NULL;
-  g_autofree char *path = last != NULL
-                              ? g_strdup_printf ("/rentals?since=%s&limit=%d", last, FT_CLOUD_LIST_LIMIT)
-                              : g_strdup_printf ("/rentals?limit=%d", FT_CLOUD_LIST_LIMIT);
+  g_autofree char *path = last != NULL ? g_strdup_printf ("/rentals?since=%s&limit=%d", last, FT_CLOUD_LIST_LIMIT)
+                                       : g_strdup_printf ("/rentals?limit=%d", FT_CLOUD_LIST_LIMIT);
   Call *call = call_new (node);
   call->list = list;
   node->list_in_flight = TRUE;
@@ -489,6 +501,8 @@
   g_autoptr (FtCatalog) catalog = node->catalog != NULL ? ft_catalog_ref (node->catalog) : ft_catalog_new ();
   node->scheduler = ft_scheduler_new (&node->config->core, catalog, ft_lease_token (node->lease), node->hold_us, now,
                                       g_rand_int (node->random));
+  ft_scheduler_set_tuning (node->scheduler, &node->tuning);
+  ft_metrics_count (node->metrics, FT_COUNT_TAKEOVERS);
   node->journal_stamp = stamp;
   node->journal_batch = 0;
   node->led_since = node->last_report = node->last_watch = now;
@@ -526,11 +540,11 @@
   watch (node, now);
   if (now >= node->next_list && !node->list_in_flight && ft_budget_has (&node->cloud_budget, 1, now)
       && ft_scheduler_is_loaded (node->scheduler)) {
-    node->next_list = now + (gint64) (FT_LIST_EVERY_S * FT_SECOND);
+    node->next_list = now + (gint64)(FT_LIST_EVERY_S * FT_SECOND);
     list_machines (node, ft_listed_new ());
   }
   if (now >= node->next_scheduler_tick) {
-    node->next_scheduler_tick = now + (gint64) (FT_SCHEDULER_TICK_S * FT_SECOND);
+    node->next_scheduler_tick = now + (gint64)(FT_SCHEDULER_TICK_S * FT_SECOND);
     ft_scheduler_tick (node->scheduler, now, ft_lease_may_start (node->lease, now));
     ft_leader_pump (node, now);
   }
--- /dev/null
+++ b/src/net/metrics.c
@@ -0,0 +1,89 @@
+#include "net/metrics.h"
+
+#include <gsl/gsl_histogram.h>
+#include <math.h>
+
+#include "core/constants.h"
+
+static const char *const counter_names[FT_COUNTERS]
+    = { "submissions_accepted", "submissions_refused", "users_told_unavailable", "polls",
+        "withdrawals",          "reports_answered",    "reports_redirected",     "takeovers",
+        "step_downs",           "direct_unanswered",   "batches_committed",      "batches_uncertain" };
+static const char *const timer_names[FT_TIMERS] = { "submit_ms", "batch_ms", "direct_ms", "recovery_ms" };
+
+struct _FtMetrics {
+  guint64 counters[FT_COUNTERS];
+  gsl_histogram *timers[FT_TIMERS];
+};
+
+/* Buckets grow by a constant factor from 0.1 ms to 100 s. */
+static gsl_histogram *
+histogram_new (void)
+{
+  gsl_histogram *h = gsl_histogram_alloc (FT_HISTOGRAM_BUCKETS);
+  double ranges[FT_HISTOGRAM_BUCKETS + 1];
+  double step = log (FT_HISTOGRAM_MOST_MS / FT_HISTOGRAM_LEAST_MS) / FT_HISTOGRAM_BUCKETS;
+  for (int i = 0; i <= FT_HISTOGRAM_BUCKETS; i++)
+    ranges[i] = FT_HISTOGRAM_LEAST_MS * exp (step * i);
+  gsl_histogram_set_ranges (h, ranges, G_N_ELEMENTS (ranges));
+  return h;
+}
+
+FtMetrics *
+ft_metrics_new (void)
+{
+  FtMetrics *metrics = g_new0 (FtMetrics, 1);
+  for (int i = 0; i < FT_TIMERS; i++)
+    metrics->timers[i] = histogram_new ();
+  return metrics;
+}
+
+void
+ft_metrics_free (FtMetrics *metrics)
+{
+  if (metrics == NULL)
+    return;
+  for (int i = 0; i < FT_TIMERS; i++)
+    gsl_histogram_free (metrics->timers[i]);
+  g_free (metrics);
+}
+
+void
+ft_metrics_count (FtMetrics *metrics, FtCounter counter)
+{
+  metrics->counters[counter]++;
+}
+
+void
+ft_metrics_time (FtMetrics *metrics, FtTimer timer, gint64 us)
+{
+  double ms = CLAMP ((double)us / 1000, FT_HISTOGRAM_LEAST_MS, FT_HISTOGRAM_MOST_MS * 0.999);
+  gsl_histogram_increment (metrics->timers[timer], ms);
+}
+
+/* Upper bound of the bucket that holds this share of the values. */
+static double
+quantile (const gsl_histogram *h, double share)
+{
+  double total = gsl_histogram_sum (h), seen = 0, lower, upper = 0;
+  for (size_t i = 0; i < gsl_histogram_bins (h) && (seen < total * share || i == 0); i++) {
+    seen += gsl_histogram_get (h, i);
+    gsl_histogram_get_range (h, i, &lower, &upper);
+  }
+  return total > 0 ? upper : 0;
+}
+
+json_t *
+ft_metrics_body (const FtMetrics *metrics)
+{
+  json_t *counters = json_object (), *timers = json_object ();
+  for (int i = 0; i < FT_COUNTERS; i++)
+    json_object_set_new (counters, counter_names[i], json_integer ((json_int_t)metrics->counters[i]));
+  for (int i = 0; i < FT_TIMERS; i++) {
+    const gsl_histogram *h = metrics->timers[i];
+    json_object_set_new (timers, timer_names[i],
+                         json_pack ("{s:I, s:f, s:f, s:f}", "count", (json_int_t)gsl_histogram_sum (h), "p50",
+                                    quantile (h, 0.5), "p95", quantile (h, 0.95), "p99", quantile (h, 0.99)));
+  }
+  return json_pack ("{s:o, s:o}", "counters", counters, "latency", timers);
+}
--- /dev/null
+++ b/src/net/metrics.h
@@ -0,0 +1,30 @@
+/* Counters and latency histograms of one controller, for its operators. */
+#pragma once
+#include <glib.h>
+#include <jansson.h>
+
+typedef struct _FtMetrics FtMetrics;
+
+typedef enum {
+  FT_COUNT_ACCEPTED,
+  FT_COUNT_REFUSED,     /* 400 and 422 */
+  FT_COUNT_UNAVAILABLE, /* 503 to users */
+  FT_COUNT_POLLS,
+  FT_COUNT_WITHDRAWN,
+  FT_COUNT_REPORTS,
+  FT_COUNT_REDIRECTS,
+  FT_COUNT_TAKEOVERS,
+  FT_COUNT_STEP_DOWNS,
+  FT_COUNT_DIRECT_UNANSWERED,
+  FT_COUNT_BATCHES,
+  FT_COUNT_BATCHES_UNCERTAIN,
+  FT_COUNTERS,
+} FtCounter;
+
+typedef enum { FT_TIME_SUBMIT, FT_TIME_BATCH, FT_TIME_DIRECT, FT_TIME_RECOVERY, FT_TIMERS } FtTimer;
+
+FtMetrics *ft_metrics_new (void);
+void ft_metrics_free (FtMetrics *metrics);
+void ft_metrics_count (FtMetrics *metrics, FtCounter counter);
+void ft_metrics_time (FtMetrics *metrics, FtTimer timer, gint64 us);
+json_t *ft_metrics_body (const FtMetrics *metrics);
--- a/src/net/node.c
+++ b/src/net/node.c
@@ -14,6 +14,7 @@
 ft_node_step_down (FtNode *node, const char *why)
 {
   g_message ("node %s: steps down: %s", node->config->member, why);
+  ft_metrics_count (node->metrics, FT_COUNT_STEP_DOWNS);
   ft_lease_lost (node->lease, g_get_monotonic_time ());
   ft_leader_end (node);
 }
@@ -85,7 +86,7 @@
   if (c.check_renewal)
     ft_txn_if (txn, FT_KEY_RENEWAL, c.renewal_stamp);
   ft_txn_put (txn, FT_KEY_FENCE, ft_row_fence (c.token, node->config->member, node->incarnation));
-  ft_txn_put (txn, FT_KEY_RENEWAL, ft_row_renewal (c.token, FALSE));
+  ft_txn_put (txn, FT_KEY_RENEWAL, ft_row_renewal (c.token, ft_lease_time (node->lease), FALSE));
   ft_txn_put (txn, FT_KEY_JOURNAL, ft_row_journal (c.token, 0));
   ft_state_commit (node->state, txn, FT_STATE_LEASE, on_claimed, lease_call (node));
   json_decref (txn);
@@ -96,7 +97,7 @@
 {
   g_autofree LeaseCall *call = data;
   FtNode *node = call->node;
-  (void) body;
+  (void)body;
   if (call->term != node->term)
     return;
   node->renew_in_flight = FALSE;
@@ -113,7 +114,7 @@
 {
   json_t *txn = ft_txn_new ();
   ft_txn_if (txn, FT_KEY_FENCE, ft_lease_fence_stamp (node->lease));
-  ft_txn_put (txn, FT_KEY_RENEWAL, ft_row_renewal (ft_lease_token (node->lease), release));
+  ft_txn_put (txn, FT_KEY_RENEWAL, ft_row_renewal (ft_lease_token (node->lease), ft_lease_time (node->lease), release));
   ft_state_commit (node->state, txn, FT_STATE_LEASE, done, lease_call (node));
   json_decref (txn);
 }
@@ -121,8 +122,8 @@
 static void
 on_released (guint status, const json_t *body, gpointer data)
 {
-  (void) status;
-  (void) body;
+  (void)status;
+  (void)body;
   g_free (data);
 }
 
@@ -131,8 +132,8 @@
 cut_off (const FtNode *node, gint64 now)
 {
   const FtSettings *s = &node->config->core;
-  gint64 gap = (gint64) ((s->report_s * 1.25 + FT_CUT_OFF_MARGIN_S) * FT_SECOND);
-  if (now - node->led_since < (gint64) (FT_CUT_OFF_GRACE_S * FT_SECOND))
+  gint64 gap = (gint64)((s->report_s * 1.25 + FT_CUT_OFF_MARGIN_S) * FT_SECOND);
+  if (now - node->led_since < (gint64)(FT_CUT_OFF_GRACE_S * FT_SECOND))
     return FALSE;
   return node->config->peers->len > 0 && now - node->last_report > gap
          && ft_scheduler_up (node->scheduler) >= FT_CUT_OFF_MACHINES;
@@ -169,7 +170,7 @@
   FtNode *node = data;
   FtCatalog *catalog = status == 200 ? ft_cloud_catalog (body) : NULL;
   node->catalog_in_flight = FALSE;
-  node->next_catalog = g_get_monotonic_time () + (gint64) ((catalog != NULL ? FT_CATALOG_EVERY_S : 1) * FT_SECOND);
+  node->next_catalog = g_get_monotonic_time () + (gint64)((catalog != NULL ? FT_CATALOG_EVERY_S : 1) * FT_SECOND);
   if (catalog == NULL)
     return;
   ft_catalog_unref (node->catalog);
@@ -196,6 +197,7 @@
   lease_tick (node, now);
   catalog_tick (node, now);
   ft_mesh_tick (node, now);
+  ft_admin_tick (node, now);
   if (node->scheduler != NULL)
     ft_leader_tick (node, now);
   return G_SOURCE_CONTINUE;
@@ -203,15 +205,6 @@
 
 /* ---- life ---- */
 
-/* How long a lapsed leader may go on answering reports: what it keeps alive
- * must still be gone within cancel_s of a withdrawal it cannot see. */
-static gint64
-hold_time (const FtSettings *s)
-{
-  double hold = s->cancel_s - s->lease_s - FT_HOLD_MARGIN_S - s->cancel_s * FT_CLOCK_DRIFT;
-  return (gint64) (MAX (hold, 0) * FT_SECOND);
-}
-
 FtNode *
 ft_node_new (const FtConfig *config, GError **error)
 {
@@ -219,10 +212,12 @@
   gint64 now = g_get_monotonic_time ();
   node->config = config;
   node->random = g_rand_new ();
-  node->incarnation = ((guint64) g_rand_int (node->random) << 30) ^ g_rand_int (node->random);
-  node->hold_us = hold_time (&config->core);
-  node->lease = ft_lease_new (config->member, node->incarnation, (gint64) (FT_LEASE_S * FT_SECOND),
-                              (gint64) (FT_SWEEP_S * FT_SECOND), node->hold_us, g_rand_int (node->random));
+  node->incarnation = ((guint64)g_rand_int (node->random) << 30) ^ g_rand_int (node->random);
+  node->hold_us = ft_tuning_hold (&config->core);
+  node->lease = ft_lease_new (config->member, node->incarnation, (gint64)(FT_LEASE_S * FT_SECOND),
+                              (gint64)(FT_SWEEP_S * FT_SECOND), node->hold_us, g_rand_int (node->random));
+  node->metrics = ft_metrics_new ();
+  ft_tuning_defaults (&node->tuning);
   node->state = ft_state_new (config);
   node->workers = ft_http_client_new (2, config->max_connections / 4);
   node->mesh = ft_http_client_new (2, 16);
@@ -236,7 +231,7 @@
   node->mesh_jobs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   node->finals = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_queue_init (&node->final_order);
-  guint most = (guint) (config->max_connections * FT_SOCKET_SHARE) - FT_CONNECTIONS_PER_HOST;
+  guint most = (guint)(config->max_connections * FT_SOCKET_SHARE) - FT_CONNECTIONS_PER_HOST;
   node->front = ft_http_server_new (config->listen, FT_BODY_CBOR, most, ft_front_handle, node, error);
   if (node->front != NULL)
     node->mesh_server = ft_http_server_new (config->mesh_listen, FT_BODY_JSON, most, ft_mesh_handle, node, error);
@@ -266,6 +261,7 @@
   ft_http_client_free (node->mesh);
   ft_http_client_free (node->cloud);
   ft_lease_free (node->lease);
+  ft_metrics_free (node->metrics);
   ft_catalog_unref (node->catalog);
   g_array_unref (node->peers);
   g_hash_table_unref (node->mesh_jobs);
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -6,6 +6,7 @@
 #include "core/scheduler.h"
 #include "net/budget.h"
 #include "net/http.h"
+#include "net/metrics.h"
 #include "net/state_client.h"
 
 typedef struct _FtNode FtNode;
@@ -42,12 +43,18 @@
   gint64 led_since, last_report;
   FtBudget cloud_budget;
 
-  GArray *peers;          /* FtPeerView */
-  char *mesh_leader;      /* as the mesh has it */
+  GArray *peers;     /* FtPeerView */
+  char *mesh_leader; /* as the mesh has it */
   guint64 mesh_token;
-  GHashTable *mesh_jobs;  /* ref -> FtJobView of the leader's last summary */
+  GHashTable *mesh_jobs; /* ref -> FtJobView of the leader's last summary */
 
-  GHashTable *finals;     /* ref -> final state (static text) */
+  FtMetrics *metrics;
+  FtTuning tuning; /* operators' settings in force, and their version */
+  guint64 settings_version;
+  gint64 next_settings;
+  gboolean settings_in_flight;
+
+  GHashTable *finals; /* ref -> final state (static text) */
   GQueue final_order;
   guint timer;
 };
@@ -78,3 +85,5 @@
 void ft_mesh_handle (FtHttpRequest *request, gpointer node);
 /* admin.c */
 void ft_admin_handle (FtNode *node, FtHttpRequest *request);
+void ft_admin_tick (FtNode *node, gint64 now);
+void ft_node_apply_settings (FtNode *node, const FtTuning *tuning, guint64 version);
--- a/src/net/user_api.c
+++ b/src/net/user_api.c
@@ -33,6 +33,13 @@
 static void
 finish (UserCall *call, guint status, json_t *body)
 {
+  FtMetrics *metrics = call->node->metrics;
+  if (call->spec != NULL && (status == 200 || status == 201)) {
+    ft_metrics_count (metrics, FT_COUNT_ACCEPTED);
+    ft_metrics_time (metrics, FT_TIME_SUBMIT, g_get_monotonic_time () - call->began);
+  } else {
+    ft_metrics_count (metrics, status == 503 ? FT_COUNT_UNAVAILABLE : FT_COUNT_POLLS);
+  }
   ft_http_respond (call->request, status, body);
   ft_job_spec_free (call->spec);
   g_free (call->ref);
@@ -42,7 +49,7 @@
 static gboolean
 too_late (const UserCall *call)
 {
-  return g_get_monotonic_time () - call->began > (gint64) (FT_USER_DEADLINE_S * FT_SECOND);
+  return g_get_monotonic_time () - call->began > (gint64)(FT_USER_DEADLINE_S * FT_SECOND);
 }
 
 /* ---- states ---- */
@@ -143,7 +150,7 @@
 on_created (guint status, const json_t *body, gpointer data)
 {
   UserCall *call = data;
-  (void) body;
+  (void)body;
   if (status == 200)
     finish (call, 201, ft_message_job_state (call->ref, "queued", 0, 0, FALSE));
   else if (status == 409 || status == 0)
@@ -167,8 +174,7 @@
 static gboolean
 overloaded (const FtNode *node)
 {
-  return !ft_state_contact (node->state, g_get_monotonic_time ())
-         || ft_state_queued (node->state) > FT_STATE_QUEUE_MOST
+  return !ft_state_contact (node->state, g_get_monotonic_time ()) || ft_state_queued (node->state) > FT_STATE_QUEUE_MOST
          || (node->scheduler != NULL && ft_scheduler_open_tasks (node->scheduler) > FT_OPEN_TASKS_MOST);
 }
 
@@ -178,6 +184,7 @@
   g_autoptr (FtJobSpec) spec = ft_message_job (ft_http_body (request));
   const char *why;
   if (spec == NULL) {
+    ft_metrics_count (node->metrics, FT_COUNT_REFUSED);
     ft_http_respond (request, 400, NULL);
     return;
   }
@@ -189,6 +196,7 @@
   switch (ft_admission_check (&node->config->core, node->catalog, spec, &why)) {
   case FT_ADMIT_NEVER:
     g_message ("job %s: refused: %s", spec->ref, why);
+    ft_metrics_count (node->metrics, FT_COUNT_REFUSED);
     ft_http_respond (request, 422, json_pack ("{s:s}", "error", why));
     return;
   case FT_ADMIT_NOT_YET:
@@ -198,6 +206,7 @@
     break;
   }
   if (overloaded (node)) {
+    ft_metrics_count (node->metrics, FT_COUNT_UNAVAILABLE);
     ft_http_unavailable (request);
     return;
   }
@@ -213,9 +222,10 @@
 on_withdrawn (guint status, const json_t *body, gpointer data)
 {
   UserCall *call = data;
-  (void) body;
+  (void)body;
   if (status == 200) {
     g_message ("job %s: withdrawn", call->ref);
+    ft_metrics_count (call->node->metrics, FT_COUNT_WITHDRAWN);
     finish (call, 200, state_body (call->node, call->ref, "cancelled", 0));
   } else if ((status == 409 || status == 0) && ++call->tries < FT_WITHDRAW_TRIES) {
     read_job (call); /* it has changed, perhaps by this very commit */
@@ -251,6 +261,7 @@
     return;
   }
   if (!ft_state_contact (node->state, g_get_monotonic_time ())) {
+    ft_metrics_count (node->metrics, FT_COUNT_UNAVAILABLE);
     ft_http_unavailable (request);
     return;
   }
--- a/src/net/worker_endpoint.c
+++ b/src/net/worker_endpoint.c
@@ -11,6 +11,7 @@
   const char *holder = node->mesh_leader != NULL ? node->mesh_leader : ft_lease_holder (node->lease);
   if (g_strcmp0 (holder, node->config->member) == 0)
     holder = NULL;
+  ft_metrics_count (node->metrics, FT_COUNT_REDIRECTS);
   ft_http_respond (request, 421, ft_message_redirect (holder));
 }
 
@@ -32,6 +33,7 @@
     return;
   }
   node->last_report = now;
+  ft_metrics_count (node->metrics, FT_COUNT_REPORTS);
   if (!ft_scheduler_report (node->scheduler, report, now)) {
     ft_node_step_down (node, "a worker has seen a higher token");
     redirect (node, request);
--- a/src/wire/store.c
+++ b/src/wire/store.c
@@ -16,8 +16,7 @@
 void
 ft_txn_if (json_t *txn, const char *key, guint64 stamp)
 {
-  json_array_append_new (json_object_get (txn, "if"),
-                         json_pack ("{s:s, s:I}", "key", key, "stamp", (json_int_t) stamp));
+  json_array_append_new (json_object_get (txn, "if"), json_pack ("{s:s, s:I}", "key", key, "stamp", (json_int_t)stamp));
 }
 
 void
@@ -59,7 +58,7 @@
 gboolean
 ft_store_row (const json_t *body, FtRow *row)
 {
-  return read_row ((json_t *) body, "key", row) && row->value != NULL;
+  return read_row ((json_t *)body, "key", row) && row->value != NULL;
 }
 
 GArray *
@@ -147,8 +146,8 @@
   if (!g_str_has_prefix (key, FT_PREFIX_DONE) || slash == key + 1
       || !g_ascii_string_to_unsigned (slash + 1, 10, 0, FT_JOB_TASKS_MOST, &number, NULL))
     return FALSE;
-  *ref = g_strndup (key + 2, (gsize) (slash - key - 2));
-  *chunk = (guint) number;
+  *ref = g_strndup (key + 2, (gsize)(slash - key - 2));
+  *chunk = (guint)number;
   return TRUE;
 }
 
@@ -157,20 +156,21 @@
 json_t *
 ft_row_fence (guint64 token, const char *holder, guint64 incarnation)
 {
-  return json_pack ("{s:I, s:s, s:I}", "token", (json_int_t) token, "holder", holder, "incarnation",
-                    (json_int_t) incarnation);
+  return json_pack ("{s:I, s:s, s:I}", "token", (json_int_t)token, "holder", holder, "incarnation",
+                    (json_int_t)incarnation);
 }
 
 json_t *
-ft_row_renewal (guint64 token, gboolean released)
+ft_row_renewal (guint64 token, gint64 lease_us, gboolean released)
 {
-  return json_pack ("{s:I, s:b}", "token", (json_int_t) token, "released", released);
+  return json_pack ("{s:I, s:I, s:b}", "token", (json_int_t)token, "lease_ms", (json_int_t)(lease_us / 1000),
+                    "released", released);
 }
 
 json_t *
 ft_row_journal (guint64 token, guint64 batch)
 {
-  return json_pack ("{s:I, s:I}", "token", (json_int_t) token, "batch", (json_int_t) batch);
+  return json_pack ("{s:I, s:I}", "token", (json_int_t)token, "batch", (json_int_t)batch);
 }
 
 gboolean
@@ -186,6 +186,9 @@
         return FALSE;
     } else if (strcmp (row->key, FT_KEY_RENEWAL) == 0) {
       out->renewal_stamp = row->stamp;
+      guint64 lease_ms = 0;
+      ft_field_count (row->value, "lease_ms", 0, G_MAXINT32, &lease_ms);
+      out->lease_us = (gint64)lease_ms * 1000;
       out->released = json_is_true (json_object_get (row->value, "released"));
     }
   }
@@ -195,7 +198,7 @@
 json_t *
 ft_row_job (const char *state, guint tasks)
 {
-  return json_pack ("{s:s, s:i}", "state", state, "tasks", (int) tasks);
+  return json_pack ("{s:s, s:i}", "state", state, "tasks", (int)tasks);
 }
 
 const char *
@@ -203,7 +206,7 @@
 {
   static const char *const states[] = { "open", "done", "cancelled" };
   const char *state = json_string_value (json_object_get (value, "state"));
-  *tasks = (guint) json_integer_value (json_object_get (value, "tasks"));
+  *tasks = (guint)json_integer_value (json_object_get (value, "tasks"));
   for (guint i = 0; i < G_N_ELEMENTS (states); i++)
     if (g_strcmp0 (state, states[i]) == 0)
       return states[i];
@@ -226,11 +229,11 @@
 {
   return json_pack (
       "{s:s, s:s, s:i, s:i, s:i, s:f, s:f, s:f, s:s, s:f, s:o, s:s?, s:b, s:b, s:b, s:f, s:f, s:f, s:f, s:I}", "class",
-      spec->job_class, "team", spec->team, "kind", (int) spec->kind, "priority", (int) spec->priority, "tasks", (int) spec->tasks, "cpus",
-      spec->cpus, "gpus", spec->gpus, "memory_gb", spec->memory_gb, "image", spec->image, "image_gb", spec->image_gb,
-      "types", text_list (spec->types), "zone", spec->zone, "one_zone", spec->one_zone, "spread", spec->spread, "spot",
-      spec->spot, "estimate_s", spec->estimate_s, "checkpoint_s", spec->checkpoint_s, "save_s", spec->save_s,
-      "deadline_s", spec->deadline_s, "submitted_ms", (json_int_t) spec->submitted_wall_ms);
+      spec->job_class, "team", spec->team, "kind", (int)spec->kind, "priority", (int)spec->priority, "tasks",
+      (int)spec->tasks, "cpus", spec->cpus, "gpus", spec->gpus, "memory_gb", spec->memory_gb, "image", spec->image,
+      "image_gb", spec->image_gb, "types", text_list (spec->types), "zone", spec->zone, "one_zone", spec->one_zone,
+      "spread", spec->spread, "spot", spec->spot, "estimate_s", spec->estimate_s, "checkpoint_s", spec->checkpoint_s,
+      "save_s", spec->save_s, "deadline_s", spec->deadline_s, "submitted_ms", (json_int_t)spec->submitted_wall_ms);
 }
 
 static gboolean
@@ -257,10 +260,12 @@
 ft_row_open_parse (const char *ref, const json_t *v)
 {
   g_autoptr (FtJobSpec) spec = g_new0 (FtJobSpec, 1);
-  guint64 kind, priority, tasks, submitted;
+  guint64 kind = FT_KIND_ARRAY, priority, tasks, submitted;
   spec->ref = g_strdup (ref);
-  if (!ft_field_text (v, "class", FT_TEXT_MOST, &spec->job_class) || !ft_field_text (v, "team", FT_TEXT_MOST, &spec->team)
-      || !ft_field_count (v, "kind", 0, FT_KIND_SERVICE, &kind)
+  if (!ft_field_text (v, "class", FT_TEXT_MOST, &spec->job_class)
+      || !ft_field_text (v, "team", FT_TEXT_MOST, &spec->team)
+      /* Rows of before there were kinds have none. */
+      || !(ft_field_is_null (v, "kind") || ft_field_count (v, "kind", 0, FT_KIND_SERVICE, &kind))
       || !ft_field_count (v, "priority", 0, FT_PRIORITY_PRODUCTION, &priority)
       || !ft_field_count (v, "tasks", 1, FT_JOB_TASKS_MOST, &tasks) || !read_open_amounts (v, spec)
       || !ft_field_text (v, "image", FT_TEXT_MOST, &spec->image)
@@ -269,10 +274,10 @@
       || !ft_field_bool (v, "one_zone", &spec->one_zone) || !ft_field_bool (v, "spread", &spec->spread)
       || !ft_field_bool (v, "spot", &spec->spot) || !ft_field_count (v, "submitted_ms", 0, G_MAXINT64, &submitted))
     return NULL;
-  spec->kind = (FtJobKind) kind;
-  spec->priority = (FtPriority) priority;
-  spec->tasks = (guint) tasks;
-  spec->submitted_wall_ms = (gint64) submitted;
+  spec->kind = (FtJobKind)kind;
+  spec->priority = (FtPriority)priority;
+  spec->tasks = (guint)tasks;
+  spec->submitted_wall_ms = (gint64)submitted;
   return g_steal_pointer (&spec);
 }
 
@@ -295,6 +300,61 @@
   return TRUE;
 }
 
+const char *
+ft_key_drained_name (const char *key)
+{
+  return g_str_has_prefix (key, FT_PREFIX_DRAINED) ? key + strlen (FT_PREFIX_DRAINED) : NULL;
+}
+
+char *
+ft_key_drained (const char *machine)
+{
+  return g_strconcat (FT_PREFIX_DRAINED, machine, NULL);
+}
+
+gboolean
+ft_setting_parse (const FtTuningInfo *info, const json_t *value, double *out)
+{
+  const char *text = json_string_value (value);
+  if (info->choices != NULL) {
+    for (guint i = 0; text != NULL && i <= info->most; i++)
+      if (strcmp (info->choices[i], text) == 0) {
+        *out = i;
+        return TRUE;
+      }
+    return FALSE;
+  }
+  double number = json_number_value (value);
+  if (!json_is_number (value) || !(number >= info->least && number <= info->most))
+    return FALSE;
+  *out = number;
+  return TRUE;
+}
+
+json_t *
+ft_setting_value (const FtTuning *tuning, const FtTuningInfo *info)
+{
+  double value = ft_tuning_get (tuning, info);
+  return info->choices != NULL ? json_string (info->choices[(guint)value]) : json_real (value);
+}
+
+void
+ft_row_settings_parse (const json_t *value, FtTuning *tuning)
+{
+  const char *name;
+  json_t *item;
+  ft_tuning_defaults (tuning);
+  json_object_foreach ((json_t *)value, name, item)
+  {
+    const FtTuningInfo *info = ft_tuning_find (name);
+    double number;
+    if (info != NULL && ft_setting_parse (info, item, &number))
+      ft_tuning_set (tuning, info, number);
+    else
+      g_warning ("setting %s: unknown, or its value cannot be used; left at its default", name);
+  }
+}
+
 /* ---- a leader's batch ---- */
 
 static void
@@ -330,6 +390,9 @@
   case FT_WRITE_ROSTER_DROP:
     key = key_machine (w->name);
     ft_txn_delete (txn, key);
+    g_free (key);
+    key = ft_key_drained (w->name);
+    ft_txn_delete (txn, key);
     break;
   case FT_WRITE_CHUNK:
     key = key_chunk (w->name, w->chunk);
--- a/src/wire/store.h
+++ b/src/wire/store.h
@@ -8,12 +8,15 @@
  *   o/REF            an open job as submitted; o/REF/w once it is withdrawn
  *   d/REF/CHUNK      a chunk of an open job's done-set
  *   m/NAME           a machine that may have been sent commands
+ *   a/NAME           a machine that an operator has drained
+ *   s/settings       the operators' settings; its stamp is their version
  */
 #pragma once
 #include <jansson.h>
 
 #include "core/lease.h"
 #include "core/scheduler.h"
+#include "core/tuning.h"
 
 #define FT_KEY_FENCE "l/fence"
 #define FT_KEY_RENEWAL "l/renewal"
@@ -22,6 +25,8 @@
 #define FT_PREFIX_OPEN "o/"
 #define FT_PREFIX_DONE "d/"
 #define FT_PREFIX_ROSTER "m/"
+#define FT_PREFIX_DRAINED "a/"
+#define FT_KEY_SETTINGS "s/settings"
 
 /* A transaction being built; json_decref() frees it. */
 json_t *ft_txn_new (void);
@@ -54,7 +59,7 @@
 gboolean ft_key_chunk_parse (const char *key, char **ref, guint *chunk);
 
 json_t *ft_row_fence (guint64 token, const char *holder, guint64 incarnation);
-json_t *ft_row_renewal (guint64 token, gboolean released);
+json_t *ft_row_renewal (guint64 token, gint64 lease_us, gboolean released);
 json_t *ft_row_journal (guint64 token, guint64 batch);
 gboolean ft_row_lease_parse (const GArray *rows, FtLeaseRows *out);
 json_t *ft_row_job (const char *state, guint tasks);
@@ -65,6 +70,16 @@
 const char *ft_row_chunk_bits (const json_t *value);
 gboolean ft_row_machine_parse (FtScheduler *s, const FtRow *row);
 
+/* The name of a machine from its row of drained ones; borrowed, or NULL. */
+const char *ft_key_drained_name (const char *key);
+char *ft_key_drained (const char *machine);
+/* Operators' settings: unknown names and values out of range are left out. */
+void ft_row_settings_parse (const json_t *value, FtTuning *tuning);
+/* The value of one setting as JSON, new. */
+json_t *ft_setting_value (const FtTuning *tuning, const FtTuningInfo *info);
+/* FALSE if it is no number or choice within the range. */
+gboolean ft_setting_parse (const FtTuningInfo *info, const json_t *value, double *out);
+
 /* Adds the writes of a leader's batch. */
 void ft_txn_add_write (json_t *txn, const FtWrite *write);
 /* The job among the writes whose row is named as failed; borrowed, or NULL. */
--- a/tests/sim/checker.cpp
+++ b/tests/sim/checker.cpp
@@ -103,4 +103,4 @@
     fail ("nothing_ran", "no task was started");
 }
 
-}  // namespace sim
+} // namespace sim
--- /dev/null
+++ b/tests/test_fuzz.cpp
@@ -0,0 +1,223 @@
+// Fuzz targets for every decoder and the settings file. Each takes any bytes;
+// here they are run on mutations of a small corpus, with fixed seeds and a fixed
+// number of rounds, under the sanitizers. A target fails by crashing, by leaking,
+// or by accepting what its own encoder then cannot write back.
+#include <gtest/gtest.h>
+
+#include "world.hpp"
+
+extern "C" {
+#include "config.h"
+#include "wire/cbor.h"
+#include "wire/cloud.h"
+#include "wire/messages.h"
+#include "wire/store.h"
+}
+
+namespace {
+
+constexpr int kRounds = 4000;
+using Target = void (*) (const json_t *);
+
+void
+fuzz_job (const json_t *body)
+{
+  g_autoptr (FtJobSpec) spec = ft_message_job (body);
+  if (spec == nullptr)
+    return;
+  json_t *row = ft_row_open (spec);
+  ASSERT_NE (row, nullptr);
+  g_autoptr (FtJobSpec) back = ft_row_open_parse (spec->ref, row);
+  EXPECT_NE (back, nullptr) << "an accepted job must survive its row";
+  json_decref (row);
+}
+
+void
+fuzz_report (const json_t *body)
+{
+  g_autoptr (FtReport) report = ft_message_report (body);
+  if (report == nullptr)
+    return;
+  sim::World world (1);
+  g_autoptr (FtScheduler) s = ft_scheduler_new (&world.settings, world.catalog, 41, 0, 1, 1);
+  ft_scheduler_loaded (s, 1);
+  if (ft_scheduler_report (s, report, 2)) {
+    g_autoptr (GArray) commands = ft_scheduler_answer (s, report, 2);
+    json_decref (ft_message_answer (41, commands));
+  }
+}
+
+void
+fuzz_catalog (const json_t *body)
+{
+  g_autoptr (FtCatalog) catalog = ft_cloud_catalog (body);
+}
+
+void
+fuzz_machines (const json_t *body)
+{
+  gboolean more;
+  g_autoptr (GArray) list = ft_listed_new ();
+  ft_cloud_list (body, list, &more);
+  FtCloudCall *call = g_new0 (FtCloudCall, 1);
+  call->names = g_ptr_array_new_with_free_func (g_free);
+  ft_cloud_rented (body, call);
+  ft_cloud_call_free (call);
+}
+
+void
+read_rows (const GArray *rows)
+{
+  sim::World world (1);
+  g_autoptr (FtScheduler) s = ft_scheduler_new (&world.settings, world.catalog, 41, 0, 1, 1);
+  FtLeaseRows lease{};
+  ft_row_lease_parse (rows, &lease);
+  ft_lease_rows_clear (&lease);
+  for (guint i = 0; i < rows->len; i++) {
+    const FtRow *row = &g_array_index (rows, FtRow, i);
+    g_autofree char *ref = nullptr;
+    gboolean withdrawn;
+    guint number;
+    g_autofree char *open = ft_key_open_ref (row->key, &withdrawn);
+    if (open != nullptr && row->value != nullptr) {
+      FtJobSpec *spec = ft_row_open_parse (open, row->value);
+      if (spec != nullptr)
+        ft_scheduler_load_job (s, spec, row->stamp, 1, 1);
+    }
+    if (row->value != nullptr)
+      ft_row_machine_parse (s, row);
+    if (ft_key_chunk_parse (row->key, &ref, &number) && row->value != nullptr && ft_row_chunk_bits (row->value))
+      ft_scheduler_load_done (s, ref, number, ft_row_chunk_bits (row->value));
+    ft_row_job_state (row->value, &number);
+  }
+}
+
+void
+fuzz_rows (const json_t *body)
+{
+  gboolean more;
+  FtRow row;
+  g_autoptr (GArray) rows = ft_store_rows (body, &more);
+  if (rows != nullptr)
+    read_rows (rows);
+  ft_store_row (body, &row);
+  ft_store_failed (body, "a/b");
+}
+
+void
+fuzz_events (const json_t *body)
+{
+  g_autoptr (GArray) rows = ft_store_events (body);
+  if (rows != nullptr)
+    read_rows (rows);
+}
+
+std::string
+read_corpus (const char *name)
+{
+  g_autofree char *path = g_strdup_printf ("%s/%s.json", FT_CORPUS, name);
+  char *text = nullptr;
+  EXPECT_TRUE (g_file_get_contents (path, &text, nullptr, nullptr)) << path;
+  std::string content = text ? text : "";
+  g_free (text);
+  return content;
+}
+
+void
+mutate (GRand *random, std::vector<guint8> &bytes)
+{
+  int times = g_rand_int_range (random, 1, 5);
+  for (int i = 0; i < times && !bytes.empty (); i++) {
+    size_t at = (size_t)g_rand_int_range (random, 0, (gint32)bytes.size ());
+    switch (g_rand_int_range (random, 0, 5)) {
+    case 0:
+      bytes[at] = (guint8)g_rand_int (random);
+      break;
+    case 1:
+      bytes.erase (bytes.begin () + (long)at);
+      break;
+    case 2:
+      bytes.insert (bytes.begin () + (long)at, (guint8)g_rand_int (random));
+      break;
+    case 3:
+      bytes.resize (at);
+      break;
+    case 4:
+      bytes[at] ^= (guint8)(1u << g_rand_int_range (random, 0, 8));
+      break;
+    }
+  }
+}
+
+// Replaces one value somewhere in the tree: well-formed, but wrong.
+void
+mutate_tree (GRand *random, json_t *node)
+{
+  static const char *const wrong[] = { "null", "-1", "1e300", "\"\"", "[]", "{}", "true", "9007199254740993", "\"x\"" };
+  if (json_is_array (node) && json_array_size (node) > 0) {
+    mutate_tree (random, json_array_get (node, (size_t)g_rand_int_range (random, 0, (gint32)json_array_size (node))));
+    return;
+  }
+  if (!json_is_object (node) || json_object_size (node) == 0)
+    return;
+  int chosen = g_rand_int_range (random, 0, (gint32)json_object_size (node));
+  void *it = json_object_iter (node);
+  while (chosen-- > 0)
+    it = json_object_iter_next (node, it);
+  json_t *value = json_object_iter_value (it);
+  if ((json_is_object (value) || json_is_array (value)) && g_rand_boolean (random)) {
+    mutate_tree (random, value);
+    return;
+  }
+  const char *text = wrong[g_rand_int_range (random, 0, G_N_ELEMENTS (wrong))];
+  json_object_iter_set_new (node, it, json_loads (text, JSON_DECODE_ANY, nullptr));
+}
+
+void
+run (const char *name, Target target)
+{
+  g_autoptr (GRand) random = g_rand_new_with_seed (7);
+  json_t *seed = json_loads (read_corpus (name).c_str (), 0, nullptr);
+  ASSERT_NE (seed, nullptr);
+  GBytes *encoded = ft_cbor_encode (seed);
+  gsize size;
+  auto data = (const guint8 *)g_bytes_get_data (encoded, &size);
+  int decoded = 0;
+  for (int i = 0; i < kRounds; i++) {
+    std::vector<guint8> bytes (data, data + size);
+    mutate (random, bytes);
+    json_t *body = ft_cbor_decode (bytes.data (), bytes.size ());
+    decoded += body != nullptr;
+    target (body);
+    json_decref (body);
+    json_t *tree = json_deep_copy (seed);
+    mutate_tree (random, tree);
+    target (tree);
+    json_decref (tree);
+  }
+  EXPECT_GT (decoded, 0);
+  g_bytes_unref (encoded);
+  json_decref (seed);
+}
+
+TEST (Fuzz, Job) { run ("job", fuzz_job); }
+TEST (Fuzz, Report) { run ("report", fuzz_report); }
+TEST (Fuzz, Catalog) { run ("catalog", fuzz_catalog); }
+TEST (Fuzz, Machines) { run ("machines", fuzz_machines); }
+TEST (Fuzz, Rows) { run ("rows", fuzz_rows); }
+TEST (Fuzz, Events) { run ("events", fuzz_events); }
+
+TEST (Fuzz, Settings)
+{
+  g_autoptr (GRand) random = g_rand_new_with_seed (8);
+  std::string seed = read_corpus ("settings");
+  for (int i = 0; i < kRounds; i++) {
+    std::vector<guint8> bytes (seed.begin (), seed.end ());
+    mutate (random, bytes);
+    g_autoptr (GError) error = nullptr;
+    g_autoptr (FtConfig) config = ft_config_parse ((const char *)bytes.data (), bytes.size (), &error);
+    EXPECT_TRUE ((config == nullptr) != (error == nullptr));
+  }
+}
+
+} // namespace
