--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -125,6 +125,15 @@
  * it had. */
 #define FT_TOO_LATE_SHARE 0.3
 #define FT_TOO_LATE_PATIENCE 3.0
+/* Least seconds between two placement passes: a report that frees room on a machine
+ * has it filled without one. */
+#define FT_PASS_EVERY_S 0.1
+/* Jobs looked at to fill one machine. */
+#define FT_FILL_JOBS 32
+/* Jobs for which one pass may look for work to stop. */
+#define FT_PREEMPT_JOBS 8
+/* Kinds of tasks that found no room, remembered within a pass. */
+#define FT_FULL_SHAPES 16
 /* Most tasks placed in one pass, so that a pass stays short. */
 #define FT_PASS_TASKS 256
 
@@ -170,7 +179,23 @@
 /* Machines named in one return request (protocol: at most 100). */
 #define FT_RETURN_MOST 100
 
+/* What a machine of a type not in the catalog may hold, in CPUs or GPUs: above any
+ * team's limit, so that what it may run unseen counts in full. */
+#define FT_CAPACITY_UNKNOWN 1e9
+
+/* ---- roster ---- */
+/* Bytes of a machine's entry in a roster row beside its texts. */
+#define FT_ROSTER_ENTRY_BYTES 64
+/* Share of the largest value that a row may take. */
+#define FT_ROSTER_ROW_SHARE 0.7
+/* Rows in one transaction: together they stay below the largest body. */
+#define FT_ROSTER_ROWS_AT_ONCE 3
+/* Seconds until a removal is written: many go in one change. */
+#define FT_ROSTER_DROP_AFTER_S 1.0
+
 /* ---- jobs ---- */
+/* Least seconds between two writes of a job's done-set. */
+#define FT_CHUNK_EVERY_S 3.0
 /* Tasks of one job (protocol). */
 #define FT_JOB_TASKS_MOST 100000
 /* Unfinished tasks held in memory before submissions are put off. */
@@ -229,6 +254,10 @@
 #define FT_RETRY_AFTER_S 1
 /* Final states kept in memory. */
 #define FT_FINAL_CACHE 4096
+/* Connections that are still taken in beyond the share below, to be told to close. */
+#define FT_CONNECTIONS_SPARE 64
+/* Bytes the server keeps for a connection: headers and a piece of the body. */
+#define FT_CONNECTION_MEMORY 8192
 /* Share of the socket limit open connections may take. */
 #define FT_SOCKET_SHARE 0.8
 /* Milliseconds between two runs of a controller's timers. */
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -1,11 +1,17 @@
-/* HTTP server and client on libsoup. Bodies are value trees; users, workers,
- * cloud and state service speak CBOR, the mesh and the admin API JSON. */
+/* HTTP server on libmicrohttpd, client on libsoup. Bodies are value trees; users,
+ * workers, cloud and state service speak CBOR, the mesh and the admin API JSON. */
 #pragma once
 #include <glib.h>
 #include <jansson.h>
 
 typedef enum { FT_BODY_CBOR, FT_BODY_JSON } FtBodyKind;
 
+/* ---- bodies ---- */
+const char *ft_http_content_type (FtBodyKind kind);
+GBytes *ft_http_encode (FtBodyKind kind, const json_t *body);
+/* NULL if it is malformed or empty. */
+json_t *ft_http_decode (FtBodyKind kind, const guint8 *data, gsize size);
+
 /* ---- server ---- */
 typedef struct _FtHttpServer FtHttpServer;
 typedef struct _FtHttpRequest FtHttpRequest;
--- /dev/null
+++ b/src/net/http_server.c
@@ -0,0 +1,332 @@
+/* The HTTP server: libmicrohttpd, driven by the main loop through its epoll
+ * descriptor. libsoup's server costs one main loop source a connection, and
+ * several hundred workers keep theirs open: docs/design.md has the measurement. */
+#include <gio/gio.h>
+#include <glib-unix.h>
+#include <microhttpd.h>
+#include <string.h>
+
+#include "core/constants.h"
+#include "net/http.h"
+
+struct _FtHttpServer {
+  struct MHD_Daemon *daemon;
+  FtBodyKind kind;
+  FtHttpHandler handler;
+  gpointer data;
+  guint most, connections;
+  guint source, again;
+  GHashTable *waiting; /* requests whose handler has not answered yet */
+};
+
+/* Owned by its connection, and by its handler as well until that has answered. */
+struct _FtHttpRequest {
+  FtHttpServer *server; /* NULL: it ended before the answer */
+  struct MHD_Connection *connection;
+  char *method, *path, *query;
+  GByteArray *raw;
+  gsize total;
+  json_t *body;
+  gboolean read;      /* the body has been decoded */
+  gboolean in_server; /* called from within the server: no need to suspend */
+  gboolean suspended;
+  guint status;
+  struct MHD_Response *response;
+};
+
+static gboolean on_again (gpointer data);
+
+/* Another round of the server soon, without an event. */
+static void
+serve_again (FtHttpServer *server, guint after_ms)
+{
+  if (server->again != 0)
+    return;
+  server->again = after_ms == 0 ? g_idle_add_full (G_PRIORITY_DEFAULT, on_again, server, NULL)
+                                : g_timeout_add (after_ms, on_again, server);
+}
+
+/* ---- requests ---- */
+
+static void
+request_free (FtHttpRequest *request)
+{
+  if (request->response != NULL)
+    MHD_destroy_response (request->response);
+  g_byte_array_unref (request->raw);
+  json_decref (request->body);
+  g_free (request->method);
+  g_free (request->path);
+  g_free (request->query);
+  g_free (request);
+}
+
+/* Before anything else the server tells the raw target: the request begins here. */
+static void *
+on_target (void *data, const char *target, struct MHD_Connection *connection)
+{
+  FtHttpRequest *request = g_new0 (FtHttpRequest, 1);
+  const char *query = strchr (target, '?');
+  request->server = data;
+  request->connection = connection;
+  request->raw = g_byte_array_new ();
+  request->query = g_strdup (query != NULL ? query + 1 : "");
+  return request;
+}
+
+static void
+on_completed (void *data, struct MHD_Connection *connection, void **context, enum MHD_RequestTerminationCode code)
+{
+  (void) data;
+  (void) connection;
+  (void) code;
+  FtHttpRequest *request = *context;
+  *context = NULL;
+  if (request != NULL && request->server != NULL)
+    request_free (request);
+}
+
+static void
+on_connection (void *data, struct MHD_Connection *connection, void **context, enum MHD_ConnectionNotificationCode code)
+{
+  FtHttpServer *server = data;
+  (void) connection;
+  (void) context;
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    server->connections++;
+  else
+    server->connections--;
+}
+
+/* Bodies are cut off in memory at the limit, whatever their header says. */
+static enum MHD_Result
+take_chunk (FtHttpRequest *request, const char *chunk, size_t *size)
+{
+  request->total += *size;
+  if (request->total <= FT_BODY_MOST)
+    g_byte_array_append (request->raw, (const guint8 *) chunk, (guint) *size);
+  *size = 0;
+  return request->total > FT_BODY_CUT ? MHD_NO : MHD_YES;
+}
+
+static enum MHD_Result
+queue_response (FtHttpRequest *request)
+{
+  return MHD_queue_response (request->connection, request->status, request->response);
+}
+
+static enum MHD_Result
+on_request (void *data, struct MHD_Connection *connection, const char *path, const char *method, const char *version,
+            const char *chunk, size_t *size, void **context)
+{
+  FtHttpServer *server = data;
+  FtHttpRequest *request = *context;
+  (void) connection;
+  (void) version;
+  if (request->method == NULL) { /* the headers; the body is still to come */
+    request->method = g_strdup (method);
+    request->path = g_strdup (path);
+    return MHD_YES;
+  }
+  if (*size > 0)
+    return take_chunk (request, chunk, size);
+  if (request->response != NULL)
+    return queue_response (request); /* resumed */
+  request->in_server = TRUE;
+  server->handler (request, server->data);
+  request->in_server = FALSE;
+  if (request->response != NULL)
+    return queue_response (request);
+  request->suspended = TRUE;
+  g_hash_table_add (server->waiting, request);
+  MHD_suspend_connection (connection);
+  return MHD_YES;
+}
+
+const char *
+ft_http_method (const FtHttpRequest *request)
+{
+  return request->method;
+}
+
+const char *
+ft_http_path (const FtHttpRequest *request)
+{
+  return request->path;
+}
+
+const char *
+ft_http_query (const FtHttpRequest *request)
+{
+  return request->query;
+}
+
+const json_t *
+ft_http_body (FtHttpRequest *request)
+{
+  if (!request->read && request->total <= FT_BODY_MOST)
+    request->body = ft_http_decode (request->server->kind, request->raw->data, request->raw->len);
+  request->read = TRUE;
+  return request->body;
+}
+
+static struct MHD_Response *
+response_new (FtHttpServer *server, const json_t *body)
+{
+  if (body == NULL)
+    return MHD_create_response_from_buffer (0, (void *) "", MHD_RESPMEM_PERSISTENT);
+  g_autoptr (GBytes) bytes = ft_http_encode (server->kind, body);
+  gsize size;
+  const void *data = g_bytes_get_data (bytes, &size);
+  struct MHD_Response *response = MHD_create_response_from_buffer (size, (void *) data, MHD_RESPMEM_MUST_COPY);
+  MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE, ft_http_content_type (server->kind));
+  return response;
+}
+
+void
+ft_http_respond (FtHttpRequest *request, guint status, json_t *body)
+{
+  FtHttpServer *server = request->server;
+  if (server == NULL) {
+    json_decref (body);
+    request_free (request);
+    return;
+  }
+  g_return_if_fail (request->response == NULL);
+  request->status = status;
+  request->response = response_new (server, body);
+  json_decref (body);
+  if (status == 503 || status == 429) {
+    char after[8];
+    g_snprintf (after, sizeof after, "%d", FT_RETRY_AFTER_S);
+    MHD_add_response_header (request->response, MHD_HTTP_HEADER_RETRY_AFTER, after);
+  }
+  if (server->connections > server->most)
+    MHD_add_response_header (request->response, MHD_HTTP_HEADER_CONNECTION, "close");
+  if (request->suspended && !request->in_server) {
+    request->suspended = FALSE;
+    g_hash_table_remove (server->waiting, request);
+    MHD_resume_connection (request->connection);
+    serve_again (server, 0); /* resuming wakes no external loop */
+  }
+}
+
+void
+ft_http_unavailable (FtHttpRequest *request)
+{
+  ft_http_respond (request, 503, NULL);
+}
+
+/* ---- the server ---- */
+
+static void
+serve (FtHttpServer *server)
+{
+  MHD_UNSIGNED_LONG_LONG left;
+  MHD_run (server->daemon);
+  /* Work may be left that no event will tell of. */
+  if (MHD_get_timeout (server->daemon, &left) == MHD_YES)
+    serve_again (server, (guint) MIN (left, G_MAXINT));
+}
+
+static gboolean
+on_again (gpointer data)
+{
+  ((FtHttpServer *) data)->again = 0;
+  serve (data);
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+on_readable (gint fd, GIOCondition condition, gpointer data)
+{
+  (void) fd;
+  (void) condition;
+  serve (data);
+  return G_SOURCE_CONTINUE;
+}
+
+static struct MHD_Daemon *
+start_daemon (FtHttpServer *server, const struct sockaddr *address)
+{
+  const unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
+  return MHD_start_daemon (flags, 0, NULL, NULL, on_request, server, MHD_OPTION_SOCK_ADDR, address,
+                           MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_CONNECTION_LIMIT,
+                           server->most + FT_CONNECTIONS_SPARE, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+                           (size_t) FT_CONNECTION_MEMORY, MHD_OPTION_CONNECTION_TIMEOUT, 0u,
+                           MHD_OPTION_URI_LOG_CALLBACK, on_target, server, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
+                           NULL, MHD_OPTION_NOTIFY_CONNECTION, on_connection, server, MHD_OPTION_END);
+}
+
+static GSocketAddress *
+parse_address (const char *addr)
+{
+  g_auto (GStrv) parts = g_strsplit (addr, ":", 2);
+  if (g_strv_length (parts) != 2)
+    return NULL;
+  return g_inet_socket_address_new_from_string (parts[0], (guint) g_ascii_strtoull (parts[1], NULL, 10));
+}
+
+FtHttpServer *
+ft_http_server_new (const char *addr, FtBodyKind kind, guint most, FtHttpHandler handler, gpointer data, GError **error)
+{
+  g_autoptr (GSocketAddress) address = parse_address (addr);
+  struct sockaddr_storage native;
+  if (address == NULL || !g_socket_address_to_native (address, &native, sizeof native, NULL)) {
+    g_set_error (error, G_IO_ERROR, G_IO_ERROR_INVALID_ARGUMENT, "%s is not an address and a port", addr);
+    return NULL;
+  }
+  FtHttpServer *server = g_new0 (FtHttpServer, 1);
+  server->kind = kind;
+  server->handler = handler;
+  server->data = data;
+  server->most = most;
+  server->waiting = g_hash_table_new (g_direct_hash, g_direct_equal);
+  server->daemon = start_daemon (server, (const struct sockaddr *) &native);
+  if (server->daemon == NULL) {
+    g_set_error (error, G_IO_ERROR, G_IO_ERROR_ADDRESS_IN_USE, "%s cannot be listened on", addr);
+    g_hash_table_unref (server->waiting);
+    g_free (server);
+    return NULL;
+  }
+  int fd = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
+  server->source = g_unix_fd_add (fd, G_IO_IN, on_readable, server);
+  return server;
+}
+
+/* The library does not stop while connections are suspended. */
+static void
+let_go (FtHttpServer *server)
+{
+  GHashTableIter it;
+  gpointer key;
+  g_hash_table_iter_init (&it, server->waiting);
+  while (g_hash_table_iter_next (&it, &key, NULL)) {
+    FtHttpRequest *request = key;
+    request->status = 503;
+    request->response = response_new (server, NULL);
+    request->server = NULL;
+    MHD_resume_connection (request->connection);
+  }
+  MHD_run (server->daemon);
+}
+
+void
+ft_http_server_free (FtHttpServer *server)
+{
+  if (server == NULL)
+    return;
+  g_source_remove (server->source);
+  if (server->again != 0)
+    g_source_remove (server->again);
+  let_go (server);
+  MHD_stop_daemon (server->daemon);
+  g_hash_table_unref (server->waiting);
+  g_free (server);
+}
+
+guint
+ft_http_server_connections (const FtHttpServer *server)
+{
+  return server->connections;
+}
