--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -476,12 +476,10 @@
 next_return (FtScheduler *s)
 {
   FtCloudCall *call = NULL;
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init (&it, s->machines);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
-    FtMachine *m = value;
-    if (m->state != FT_MACHINE_RETURNING || m->return_in_flight || m->return_at > s->now)
+  for (GList *l = s->returning.head; l != NULL; l = l->next) {
+    FtMachine *m = l->data;
+    s->looked_at++;
+    if (m->return_in_flight || m->return_at > s->now)
       continue;
     if (call == NULL)
       call = call_new (FT_CLOUD_RETURN);
@@ -529,7 +527,7 @@
     if (g_hash_table_contains (s->machines, name) || g_hash_table_contains (s->gone, name))
       continue;
     FtMachine *m = ft_machine_new (s, name, NULL, pool->type, pool->zone, pool->spot);
-    m->accounted = TRUE; /* it has never been sent a command */
+    ft_machine_account (m); /* it has never been sent a command */
     g_hash_table_insert (s->machines, m->name, m);
     g_message ("machine %s: rented by %s", name, call->booking);
   }
@@ -591,7 +589,7 @@
     return;
   FtMachine *m = ft_machine_new (s, entry->name, entry->addr, entry->type, entry->zone, entry->spot);
   m->rented_at = s->now - (gint64) (entry->age_s * FT_SECOND);
-  m->accounted = TRUE; /* in no roster: never sent a command */
+  ft_machine_account (m); /* in no roster: never sent a command */
   m->listed_running = entry->state == FT_LISTED_RUNNING;
   g_hash_table_insert (s->machines, m->name, m);
   g_message ("machine %s: found in the list", m->name);
@@ -605,7 +603,7 @@
     if (m->state != FT_MACHINE_RETURNING)
       return_machine (s, m, "failed");
     ft_machine_end_session (s, m);
-    m->accounted = TRUE;
+    ft_machine_account (m);
   }
   /* A machine known from the roster or a report is older than this leadership. */
   m->rented_at = MIN (m->rented_at, s->now - (gint64) (entry->age_s * FT_SECOND));
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -17,6 +17,7 @@
   }
   job->written = g_hash_table_new (g_direct_hash, g_direct_equal);
   job->dirty = g_hash_table_new (g_direct_hash, g_direct_equal);
+  job->attempts = g_hash_table_new (g_direct_hash, g_direct_equal);
   return job;
 }
 
@@ -27,6 +28,7 @@
     return;
   g_hash_table_unref (job->written);
   g_hash_table_unref (job->dirty);
+  g_hash_table_unref (job->attempts);
   g_free (job->tasks);
   ft_job_spec_free (job->spec);
   g_free (job);
@@ -45,9 +47,19 @@
   }
   g_message ("job %s: %s -> %s", job->spec->ref, names[job->state], names[to]);
   job->state = to;
+  ft_job_touch (job);
   return TRUE;
 }
 
+void
+ft_job_touch (FtJob *job)
+{
+  if (job->touched || job->scheduler == NULL || job->state == FT_JOB_CLOSED)
+    return;
+  job->touched = TRUE;
+  g_queue_push_tail (&job->scheduler->touched, job);
+}
+
 guint
 ft_job_live (const FtJob *job)
 {
--- a/src/core/machine.c
+++ b/src/core/machine.c
@@ -5,6 +5,8 @@
 static void
 attempt_free (FtAttempt *attempt)
 {
+  if (attempt->job != NULL)
+    g_hash_table_remove (attempt->job->attempts, attempt);
   g_free (attempt->job_ref);
   g_free (attempt);
 }
@@ -36,6 +38,7 @@
 ft_machine_new (FtScheduler *s, const char *name, const char *addr, const char *type, const char *zone, gboolean spot)
 {
   FtMachine *machine = g_new0 (FtMachine, 1);
+  machine->scheduler = s;
   machine->name = g_strdup (name);
   machine->addr = g_strdup (addr);
   machine->type_name = g_strdup (type);
@@ -49,9 +52,31 @@
   return machine;
 }
 
+void
+ft_machine_account (FtMachine *machine)
+{
+  FtScheduler *s = machine->scheduler;
+  if (machine->accounted)
+    return;
+  machine->accounted = TRUE;
+  s->dirty = TRUE;
+  ft_recovery_uncount (machine);
+}
+
+void
+ft_machine_queue_direct (FtMachine *machine)
+{
+  if (machine->direct_queued || machine->state == FT_MACHINE_GONE)
+    return;
+  machine->direct_queued = TRUE;
+  g_queue_push_tail (&machine->scheduler->directs, machine);
+}
+
 void
 ft_machine_free (FtMachine *machine)
 {
+  if (machine->direct_queued)
+    g_queue_remove (&machine->scheduler->directs, machine);
   g_hash_table_unref (machine->attempts);
   g_hash_table_unref (machine->images);
   g_free (machine->name);
@@ -81,6 +106,8 @@
   }
   g_message ("machine %s: %s -> %s", machine->name, names[from], names[to]);
   machine->state = to;
+  if (to == FT_MACHINE_RETURNING)
+    g_queue_push_tail (&machine->scheduler->returning, machine);
   return TRUE;
 }
 
@@ -157,6 +184,8 @@
     a->memory_gb = job->spec->memory_gb;
   }
   g_hash_table_insert (machine->attempts, a, a);
+  if (job != NULL)
+    g_hash_table_add (job->attempts, a);
   return a;
 }
 
@@ -221,6 +250,7 @@
   attempt->stop_wanted = TRUE;
   attempt->stop_sent = FALSE;
   attempt->grace_s = grace_s;
+  ft_machine_queue_direct (attempt->machine);
 }
 
 void
@@ -254,10 +284,10 @@
 {
   g_message ("machine %s: gone (%s)", machine->name, why);
   ft_machine_end_session (s, machine);
-  machine->accounted = TRUE;
+  ft_machine_account (machine);
+  g_queue_remove (&s->returning, machine);
   ft_machine_set_state (machine, FT_MACHINE_GONE);
   g_hash_table_add (s->gone, g_strdup (machine->name));
-  if (machine->in_roster || machine->roster_in_flight)
-    g_queue_push_tail (&s->roster_drop, g_strdup (machine->name));
+  ft_roster_remove (s, machine);
   s->dirty = TRUE;
 }
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -2,6 +2,7 @@
  * belongs to one FtScheduler and dies with it, that is with the leadership. */
 #pragma once
 #include "core/constants.h"
+#include "core/scheduler.h"
 #include "core/tuning.h"
 #include "core/types.h"
 
@@ -9,6 +10,7 @@
 typedef struct _FtTeam FtTeam;
 typedef struct _FtMachine FtMachine;
 typedef struct _FtAttempt FtAttempt;
+typedef struct _FtRosterRow FtRosterRow;
 
 typedef enum {
   FT_TASK_UNKNOWN,  /* after a takeover: may be on a machine not yet heard from */
@@ -37,15 +39,19 @@
 } FtJobState;
 
 struct _FtJob {
+  FtScheduler *scheduler; /* borrowed; NULL in tests of the job alone */
   FtJobSpec *spec;
   FtJobState state;
   guint64 stamp; /* revision of the job's row while it is open */
   FtTeam *team;
   FtTask *tasks;
   guint counts[FT_TASK_DROPPED + 1];
-  guint scan_from;     /* no queued task has a lower index */
-  GHashTable *written; /* chunks of the done-set that are in the store */
-  GHashTable *dirty;   /* chunks with finished, uncommitted tasks */
+  guint scan_from;      /* no queued task has a lower index */
+  GHashTable *written;  /* chunks of the done-set that are in the store */
+  GHashTable *dirty;    /* chunks with finished, uncommitted tasks */
+  GHashTable *attempts; /* set of FtAttempt of this job, borrowed */
+  gboolean touched;     /* waits in the scheduler's queue of jobs to write */
+  gint64 chunk_at;      /* earliest next write of a chunk */
   gboolean final_in_flight, conflicted;
   gint64 accepted_at, deadline_at; /* deadline 0: none */
   gboolean guaranteed, too_late;
@@ -69,6 +75,7 @@
 } FtMachineState;
 
 struct _FtMachine {
+  FtScheduler *scheduler; /* borrowed */
   char *name, *addr, *zone, *type_name;
   const FtMachineType *type; /* of the scheduler's catalog; NULL if not in it */
   gboolean spot;
@@ -80,14 +87,17 @@
   gint64 probe_at;
   guint probe_fails;  /* direct requests without answer since the last report */
   gint64 return_at;   /* earliest next try of a return */
-  gboolean accounted; /* heard under our token, or certainly empty */
-  gboolean in_roster, roster_in_flight, roster_wanted;
+  gboolean counted;   /* among the scheduler's unaccounted ones */
+  gboolean accounted; /* heard under our token, or certainly empty; ft_machine_account() sets it */
+  FtRosterRow *row;   /* the roster row that names it; NULL: none yet */
+  gboolean in_roster; /* that row is committed */
+  gboolean direct_queued;
   gboolean drained; /* by an operator */
   gboolean faulty;
   gboolean listed_running;
   gboolean command_in_flight, return_in_flight;
   guint failing_jobs;
-  FtJob *last_failed;           /* compared only */
+  guint64 last_failed;          /* stamp of the job that failed here last */
   double cpus, gpus, memory_gb; /* taken by attempts not known to be over */
   GHashTable *attempts;         /* set of FtAttempt, owned */
   GHashTable *images;           /* names known to be cached */
@@ -113,7 +123,15 @@
   gint64 placed_at, running_at, placed_pass;
 };
 
-typedef struct _FtScheduler FtScheduler;
+/* A row of the roster names many machines, so that a large fleet costs few
+ * changes at the store. */
+struct _FtRosterRow {
+  char *id;
+  GPtrArray *machines; /* FtMachine, borrowed */
+  gsize bytes;         /* about what its value takes */
+  gboolean dirty, in_flight, stored;
+  gint64 write_at; /* earliest write, for what is not urgent */
+};
 
 struct _FtScheduler {
   const FtSettings *settings;
@@ -132,9 +150,23 @@
   GHashTable *machines; /* name -> FtMachine, owned */
   GHashTable *gone;     /* names returned or failed */
   GHashTable *pools;    /* "type/zone/kind" -> FtPool, owned */
-  GPtrArray *order;     /* scratch: jobs in order of placement */
-  GQueue roster_drop;   /* names whose roster rows go */
-  GQueue closing;       /* FtWrite left over: chunk rows to delete */
+  GPtrArray *order;     /* open jobs in order of placement, as of the last pass */
+  GPtrArray *waiting;   /* those of them that had tasks to place */
+  gint64 next_pass;
+  GPtrArray *victims;    /* scratch of a pass: FtAttempt that may be stopped, youngest first; NULL: not made */
+  guint stops_pending;   /* with `victims`: stops under way */
+  guint looked_at;       /* machines and jobs looked at so far: what bounds of work are tested on */
+  GQueue touched;        /* FtJob that may have something to write */
+  GQueue directs;        /* FtMachine that may want a direct request */
+  GQueue returning;      /* FtMachine to be returned */
+  GHashTable *rows;      /* id -> FtRosterRow, owned */
+  GQueue dirty_rows;     /* FtRosterRow */
+  FtRosterRow *open_row; /* the one that takes new machines */
+  guint64 next_row;
+  guint unaccounted; /* machines not accounted for, and what they can hold */
+  double unaccounted_cpus, unaccounted_gpus;
+  GQueue marks_drop; /* names whose operators' marks go */
+  GQueue closing;    /* FtWrite left over: chunk rows to delete */
   gint64 next_fleet;
   gint64 silent_window_at;
   guint silent_returned;
@@ -162,6 +194,11 @@
 gboolean ft_machine_set_state (FtMachine *machine, FtMachineState to);
 const char *ft_machine_state_name (FtMachineState state);
 gboolean ft_machine_usable (const FtScheduler *s, const FtMachine *machine);
+void ft_machine_account (FtMachine *machine);
+/* The machine may want a direct request. */
+void ft_machine_queue_direct (FtMachine *machine);
+/* The job may have something to write. */
+void ft_job_touch (FtJob *job);
 guint ft_machine_room (const FtMachine *machine, const FtJobSpec *spec);
 gboolean ft_machine_idle (const FtMachine *machine);
 gboolean ft_machine_allowed (const FtMachine *machine, const FtJobSpec *spec);
@@ -184,10 +221,26 @@
 
 /* placement.c */
 void ft_placement_pass (FtScheduler *s);
+/* What one machine has room for again, without a pass over all. */
+void ft_placement_fill (FtScheduler *s, FtMachine *machine);
+void ft_placement_forget (FtScheduler *s, FtJob *job);
+
+/* roster.c */
+void ft_roster_row_free (FtRosterRow *row);
+void ft_roster_add (FtScheduler *s, FtMachine *machine);
+void ft_roster_remove (FtScheduler *s, FtMachine *machine);
+/* A row as read from the store; machines are added to it by ft_roster_loaded(). */
+FtRosterRow *ft_roster_row (FtScheduler *s, const char *id);
+void ft_roster_loaded (FtScheduler *s, FtRosterRow *row, FtMachine *machine);
+/* Rows that are due, as writes; `most` at a time. */
+void ft_roster_writes (FtScheduler *s, GPtrArray *writes, guint most);
+void ft_roster_written (FtScheduler *s, const FtWrite *write, gboolean applied);
 
 /* preempt.c */
 gboolean ft_preempt_for (FtScheduler *s, FtJob *job);
 
 /* recovery.c */
 void ft_recovery_tick (FtScheduler *s);
+void ft_recovery_count (FtScheduler *s);
+void ft_recovery_uncount (FtMachine *machine);
 void ft_recovery_unaccounted (const FtScheduler *s, double *cpus, double *gpus);
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -32,6 +32,12 @@
   return s->now + needs > job->deadline_at && s->now < job->deadline_at + patience;
 }
 
+static gboolean
+wants_placing (const FtScheduler *s, const FtJob *job)
+{
+  return job->state == FT_JOB_OPEN && job->counts[FT_TASK_QUEUED] > 0 && job->not_before <= s->now;
+}
+
 static void
 collect (FtScheduler *s)
 {
@@ -46,8 +52,13 @@
     job->too_late = too_late (s, job);
     g_ptr_array_add (s->order, job);
   }
+  s->looked_at += s->order->len;
   ft_quota_mark_guaranteed (s);
   g_ptr_array_sort (s->order, by_urgency);
+  g_ptr_array_set_size (s->waiting, 0);
+  for (guint i = 0; i < s->order->len; i++)
+    if (wants_placing (s, g_ptr_array_index (s->order, i)))
+      g_ptr_array_add (s->waiting, g_ptr_array_index (s->order, i));
 }
 
 static guint
@@ -133,15 +144,43 @@
          && zone_allowed (job, w, machine) && ft_machine_room (machine, job->spec) > 0;
 }
 
+/* Room for a kind of task that a pass has looked for everywhere in vain: what
+ * needs as much, and may go nowhere else, need not look again. */
+typedef struct {
+  GPtrArray *machines;                   /* with room for something */
+  const FtJobSpec *full[FT_FULL_SHAPES]; /* borrowed from open jobs */
+  guint n_full;
+} Pass;
+
+static gboolean
+covers (const FtJobSpec *full, const FtJobSpec *spec)
+{
+  return spec->cpus >= full->cpus && spec->gpus >= full->gpus && spec->memory_gb >= full->memory_gb
+         && full->types == NULL && (full->zone == NULL || g_strcmp0 (full->zone, spec->zone) == 0)
+         && (full->spot || !spec->spot);
+}
+
+static gboolean
+known_full (const Pass *pass, const FtJobSpec *spec)
+{
+  for (guint i = 0; i < pass->n_full; i++)
+    if (covers (pass->full[i], spec))
+      return TRUE;
+  return FALSE;
+}
+
 static FtMachine *
-pick (FtScheduler *s, const FtJob *job, const FtTask *task, const Whereabouts *w, GPtrArray *machines)
+pick (FtScheduler *s, const FtJob *job, const FtTask *task, const Whereabouts *w, Pass *pass)
 {
   FtMachine *best = NULL;
   double best_score = INFINITY;
   guint seen = 0;
-  guint n = machines->len, start = n > 0 ? (guint) g_rand_int_range (s->random, 0, (gint32) n) : 0;
+  if (known_full (pass, job->spec))
+    return NULL;
+  guint n = pass->machines->len, start = n > 0 ? (guint) g_rand_int_range (s->random, 0, (gint32) n) : 0;
   for (guint i = 0; i < n && seen < s->tuning.sample_size; i++) {
-    FtMachine *machine = g_ptr_array_index (machines, (start + i) % n);
+    FtMachine *machine = g_ptr_array_index (pass->machines, (start + i) % n);
+    s->looked_at++;
     if (!candidate (s, job, task, w, machine))
       continue;
     seen++;
@@ -151,6 +190,9 @@
       best = machine;
     }
   }
+  gboolean plain = !job->spec->one_zone && !job->spec->spread && task->avoid == NULL;
+  if (best == NULL && plain && pass->n_full < FT_FULL_SHAPES)
+    pass->full[pass->n_full++] = job->spec;
   return best;
 }
 
@@ -169,6 +211,7 @@
   ft_attempt_bind (a, FT_TASK_STARTING);
   a->placed_at = s->now;
   a->placed_pass = s->pass;
+  ft_machine_queue_direct (machine);
   g_message ("task %s/%u: placed on %s attempt %" G_GUINT64_FORMAT, job->spec->ref, index, machine->name, id);
 }
 
@@ -202,12 +245,26 @@
   }
 }
 
+/* Puts tasks of the job on the machine while both have more and the team may. */
 static guint
-place_job (FtScheduler *s, FtJob *job, GPtrArray *machines)
+place_on (FtScheduler *s, FtJob *job, FtMachine *machine, guint most)
+{
+  guint placed = 0;
+  while (placed < most && ft_machine_room (machine, job->spec) > 0 && ft_quota_allows (s, job->team, job->spec)) {
+    guint index = next_queued (job, s->now);
+    if (index >= job->spec->tasks || avoided (s, &job->tasks[index], machine))
+      break;
+    place (s, job, index, machine, next_attempt (s));
+    placed++;
+  }
+  return placed;
+}
+
+/* An array: whatever fits, machine by machine. Tasks of a job that share a
+ * machine share the fetch of their image and one command. */
+static guint
+place_array (FtScheduler *s, FtJob *job, Pass *pass)
 {
-  gboolean whole = job->spec->kind == FT_KIND_GANG;
-  if (whole && !gang_ready (s, job))
-    return 0;
   Whereabouts w;
   guint placed = 0;
   gboolean zoned = job->spec->one_zone || job->spec->spread;
@@ -215,58 +272,124 @@
   if (zoned && job->counts[FT_TASK_UNKNOWN] > 0)
     return 0;
   find_whereabouts (job, &w);
-  guint64 id = next_attempt (s);
-  while ((placed < FT_PASS_TASKS || whole) && ft_quota_allows (s, job->team, job->spec)) {
+  while (placed < FT_PASS_TASKS && ft_quota_allows (s, job->team, job->spec)) {
     guint index = next_queued (job, s->now);
     if (index >= job->spec->tasks)
       break;
-    FtMachine *machine = pick (s, job, &job->tasks[index], &w, machines);
+    FtMachine *machine = pick (s, job, &job->tasks[index], &w, pass);
     if (machine == NULL) {
       job->pass_blocked = s->pass;
       break;
     }
-    place (s, job, index, machine, id);
-    placed++;
-    /* The tasks of a gang come together under one attempt number. */
-    if (!whole)
-      id = next_attempt (s);
+    guint n = place_on (s, job, machine, zoned ? 1 : FT_PASS_TASKS - placed);
+    if (n == 0)
+      break;
+    placed += n;
     if (zoned) {
       g_hash_table_unref (w.zone_count);
       find_whereabouts (job, &w);
     }
   }
   g_hash_table_unref (w.zone_count);
-  if (whole && job->counts[FT_TASK_QUEUED] > 0) {
-    take_back (s, job);
+  return placed;
+}
+
+/* A gang or a service: all of it or nothing, under one attempt number. */
+static guint
+place_whole (FtScheduler *s, FtJob *job, Pass *pass)
+{
+  Whereabouts w;
+  guint placed = 0;
+  if (!gang_ready (s, job))
     return 0;
+  guint64 id = next_attempt (s);
+  for (;;) {
+    guint index = next_queued (job, s->now);
+    if (index >= job->spec->tasks || !ft_quota_allows (s, job->team, job->spec))
+      break;
+    find_whereabouts (job, &w);
+    FtMachine *machine = pick (s, job, &job->tasks[index], &w, pass);
+    g_hash_table_unref (w.zone_count);
+    if (machine == NULL) {
+      job->pass_blocked = s->pass;
+      break;
+    }
+    place (s, job, index, machine, id);
+    placed++;
   }
-  return placed;
+  if (job->counts[FT_TASK_QUEUED] == 0)
+    return placed;
+  take_back (s, job);
+  return 0;
+}
+
+static guint
+place_job (FtScheduler *s, FtJob *job, Pass *pass)
+{
+  return job->spec->kind == FT_KIND_GANG ? place_whole (s, job, pass) : place_array (s, job, pass);
+}
+
+static void
+find_machines (FtScheduler *s, Pass *pass)
+{
+  GHashTableIter it;
+  gpointer value;
+  pass->machines = g_ptr_array_sized_new (g_hash_table_size (s->machines));
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    const FtMachine *m = value;
+    if (ft_machine_usable (s, m) && m->cpus < m->type->cpus && m->memory_gb < m->type->memory_gb)
+      g_ptr_array_add (pass->machines, value);
+  }
+  s->looked_at += g_hash_table_size (s->machines);
 }
 
 void
 ft_placement_pass (FtScheduler *s)
 {
+  Pass pass = { 0 };
   s->dirty = FALSE;
   s->pass++;
+  s->next_pass = s->now + (gint64) (FT_PASS_EVERY_S * FT_SECOND);
   collect (s);
-  if (!s->may_start || !s->loaded)
+  if (!s->may_start || !s->loaded || s->waiting->len == 0)
     return;
-  g_autoptr (GPtrArray) machines = g_ptr_array_new ();
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init (&it, s->machines);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    if (ft_machine_usable (s, value))
-      g_ptr_array_add (machines, value);
-  guint placed = 0;
-  for (guint i = 0; i < s->order->len && placed < FT_PASS_TASKS; i++) {
-    FtJob *job = g_ptr_array_index (s->order, i);
-    if (job->counts[FT_TASK_QUEUED] == 0 || job->not_before > s->now)
-      continue;
-    placed += place_job (s, job, machines);
-    if (job->pass_blocked == s->pass && job->counts[FT_TASK_QUEUED] > 0)
+  find_machines (s, &pass);
+  guint placed = 0, preempting = 0;
+  for (guint i = 0; i < s->waiting->len && placed < FT_PASS_TASKS; i++) {
+    FtJob *job = g_ptr_array_index (s->waiting, i);
+    placed += place_job (s, job, &pass);
+    if (job->pass_blocked == s->pass && job->counts[FT_TASK_QUEUED] > 0 && preempting < FT_PREEMPT_JOBS) {
       ft_preempt_for (s, job);
+      preempting++;
+    }
   }
+  g_ptr_array_unref (pass.machines);
+  g_clear_pointer (&s->victims, g_ptr_array_unref);
   if (placed >= FT_PASS_TASKS)
     s->dirty = TRUE;
 }
+
+void
+ft_placement_fill (FtScheduler *s, FtMachine *machine)
+{
+  if (!s->may_start || !s->loaded || !ft_machine_usable (s, machine))
+    return;
+  for (guint i = 0, looked = 0; i < s->waiting->len && looked < FT_FILL_JOBS; i++) {
+    FtJob *job = g_ptr_array_index (s->waiting, i);
+    if (!wants_placing (s, job))
+      continue;
+    looked++;
+    s->looked_at++;
+    gboolean plain = job->spec->kind != FT_KIND_GANG && !job->spec->one_zone && !job->spec->spread;
+    if (plain && ft_machine_allowed (machine, job->spec))
+      place_on (s, job, machine, FT_PASS_TASKS);
+  }
+}
+
+void
+ft_placement_forget (FtScheduler *s, FtJob *job)
+{
+  g_ptr_array_remove (s->order, job);
+  g_ptr_array_remove (s->waiting, job);
+}
--- a/src/core/preempt.c
+++ b/src/core/preempt.c
@@ -25,40 +25,46 @@
   return victim->job->spec->priority < job->spec->priority && !victim->job->guaranteed;
 }
 
-static FtAttempt *
-youngest_victim (FtScheduler *s, const FtJob *job)
+static gint
+youngest_first (gconstpointer a, gconstpointer b)
+{
+  const FtAttempt *x = *(FtAttempt *const *) a, *y = *(FtAttempt *const *) b;
+  return x->placed_at > y->placed_at ? -1 : x->placed_at < y->placed_at;
+}
+
+/* All that might be stopped, found once for a pass and not for each job. */
+static void
+find_victims (FtScheduler *s)
 {
-  FtAttempt *best = NULL;
   GHashTableIter machines, attempts;
-  gpointer m, a;
+  gpointer m, value;
+  s->victims = g_ptr_array_new ();
+  s->stops_pending = 0;
   g_hash_table_iter_init (&machines, s->machines);
   while (g_hash_table_iter_next (&machines, NULL, &m)) {
-    if (!ft_machine_usable (s, m) || !ft_machine_allowed (m, job->spec))
-      continue;
+    gboolean usable = ft_machine_usable (s, m);
     g_hash_table_iter_init (&attempts, ((FtMachine *) m)->attempts);
-    while (g_hash_table_iter_next (&attempts, NULL, &a)) {
-      FtAttempt *victim = a;
-      if (may_stop (s, job, victim) && victim->cpus >= job->spec->cpus
-          && (best == NULL || victim->placed_at > best->placed_at))
-        best = victim;
+    while (g_hash_table_iter_next (&attempts, NULL, &value)) {
+      const FtAttempt *a = value;
+      s->looked_at++;
+      s->stops_pending += a->stop_wanted && !a->exited;
+      if (usable && a->bound && !a->stop_wanted && !a->exited && a->job != NULL && cheap_to_stop (s, a))
+        g_ptr_array_add (s->victims, value);
     }
   }
-  return best;
+  g_ptr_array_sort (s->victims, youngest_first);
 }
 
-static guint
-stops_under_way (FtScheduler *s)
+static FtAttempt *
+youngest_victim (FtScheduler *s, const FtJob *job, guint *from)
 {
-  guint n = 0;
-  GHashTableIter machines, attempts;
-  gpointer m, a;
-  g_hash_table_iter_init (&machines, s->machines);
-  while (g_hash_table_iter_next (&machines, NULL, &m)) {
-    g_hash_table_iter_init (&attempts, ((FtMachine *) m)->attempts);
-    while (g_hash_table_iter_next (&attempts, NULL, &a))
-      n += ((FtAttempt *) a)->stop_wanted && !((FtAttempt *) a)->exited;
+  for (; *from < s->victims->len; (*from)++) {
+    FtAttempt *victim = g_ptr_array_index (s->victims, *from);
+    s->looked_at++;
+    if (may_stop (s, job, victim) && victim->cpus >= job->spec->cpus && ft_machine_allowed (victim->machine, job->spec))
+      return victim;
   }
-  return n;
+  return NULL;
 }
 
 gboolean
@@ -66,16 +72,19 @@
 {
   if (s->now - job->accepted_at < (gint64) (FT_PREEMPT_AFTER_S * FT_SECOND))
     return FALSE;
+  if (s->victims == NULL)
+    find_victims (s);
   guint wanted = MIN (job->counts[FT_TASK_QUEUED], ft_quota_count (s, job->team, job->spec));
-  guint pending = stops_under_way (s);
+  guint from = 0;
   gboolean any = FALSE;
-  for (; pending < wanted; pending++) {
-    FtAttempt *victim = youngest_victim (s, job);
+  while (s->stops_pending < wanted) {
+    FtAttempt *victim = youngest_victim (s, job, &from);
     if (victim == NULL)
       break;
     g_message ("task %s/%u: stopped on %s for job %s", victim->job_ref, victim->index, victim->machine->name,
                job->spec->ref);
     ft_attempt_want_stop (victim, victim->job->spec->checkpoint_s > 0 ? victim->job->spec->save_s : 0);
+    s->stops_pending++;
     any = TRUE;
   }
   return any;
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -2,37 +2,49 @@
  * that might be running unseen is placed again. */
 #include "core/model.h"
 
-/* Capacity of the machines that may run tasks we do not see. */
+static void
+count (FtMachine *m, int sign)
+{
+  FtScheduler *s = m->scheduler;
+  m->counted = sign > 0;
+  s->unaccounted += (guint) sign;
+  s->unaccounted_cpus += sign * (m->type != NULL ? m->type->cpus : FT_CAPACITY_UNKNOWN);
+  s->unaccounted_gpus += sign * (m->type != NULL ? m->type->gpus : FT_CAPACITY_UNKNOWN);
+}
+
 void
-ft_recovery_unaccounted (const FtScheduler *s, double *cpus, double *gpus)
+ft_recovery_uncount (FtMachine *machine)
+{
+  if (machine->counted)
+    count (machine, -1);
+}
+
+/* Counts the machines that may run tasks we do not see, and what they can hold:
+ * kept, since each placement asks. Called when the roster is read and when the
+ * catalog changes. */
+void
+ft_recovery_count (FtScheduler *s)
 {
-  *cpus = *gpus = 0;
-  if (s->recovered)
-    return;
   GHashTableIter it;
   gpointer value;
+  s->unaccounted = 0;
+  s->unaccounted_cpus = s->unaccounted_gpus = 0;
+  if (s->recovered)
+    return;
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
-    const FtMachine *m = value;
-    if (m->accounted)
-      continue;
-    *cpus += m->type != NULL ? m->type->cpus : G_MAXUINT16;
-    *gpus += m->type != NULL ? m->type->gpus : G_MAXUINT16;
+    FtMachine *m = value;
+    m->counted = FALSE;
+    if (!m->accounted)
+      count (m, 1);
   }
-  if (!s->loaded)
-    *cpus = *gpus = G_MAXUINT16;
 }
 
-static gboolean
-all_accounted (FtScheduler *s)
+void
+ft_recovery_unaccounted (const FtScheduler *s, double *cpus, double *gpus)
 {
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init (&it, s->machines);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    if (!((FtMachine *) value)->accounted)
-      return FALSE;
-  return TRUE;
+  *cpus = s->loaded ? s->unaccounted_cpus : FT_CAPACITY_UNKNOWN;
+  *gpus = s->loaded ? s->unaccounted_gpus : FT_CAPACITY_UNKNOWN;
 }
 
 static void
@@ -47,7 +59,7 @@
 void
 ft_recovery_tick (FtScheduler *s)
 {
-  if (s->recovered || !s->loaded || !all_accounted (s))
+  if (s->recovered || !s->loaded || s->unaccounted > 0)
     return;
   GHashTableIter it;
   gpointer value;
--- /dev/null
+++ b/src/core/roster.c
@@ -0,0 +1,159 @@
+/* The roster: a committed superset of the machines that may have been sent a
+ * command. Additions are urgent, since starts wait for them; removals are not. */
+#include "core/model.h"
+
+#include <string.h>
+
+void
+ft_roster_row_free (FtRosterRow *row)
+{
+  g_ptr_array_unref (row->machines);
+  g_free (row->id);
+  g_free (row);
+}
+
+FtRosterRow *
+ft_roster_row (FtScheduler *s, const char *id)
+{
+  FtRosterRow *row = g_hash_table_lookup (s->rows, id);
+  if (row != NULL)
+    return row;
+  row = g_new0 (FtRosterRow, 1);
+  row->id = g_strdup (id);
+  row->machines = g_ptr_array_new ();
+  g_hash_table_insert (s->rows, row->id, row);
+  return row;
+}
+
+static gsize
+entry_bytes (const FtMachine *m)
+{
+  return strlen (m->name) + strlen (m->addr) + strlen (m->type_name) + strlen (m->zone) + FT_ROSTER_ENTRY_BYTES;
+}
+
+static void
+mark_dirty (FtScheduler *s, FtRosterRow *row, gint64 write_at)
+{
+  if (row->dirty) {
+    row->write_at = MIN (row->write_at, write_at);
+    return;
+  }
+  row->dirty = TRUE;
+  row->write_at = write_at;
+  g_queue_push_tail (&s->dirty_rows, row);
+}
+
+static FtRosterRow *
+row_with_room (FtScheduler *s, gsize bytes)
+{
+  gsize most
+      = (gsize) (MIN (s->settings->value_kb * 1024.0, FT_BODY_MOST / FT_ROSTER_ROWS_AT_ONCE) * FT_ROSTER_ROW_SHARE);
+  if (s->open_row == NULL || s->open_row->bytes + bytes > most) {
+    /* The token makes the name unique: no row of an earlier leadership has it. */
+    g_autofree char *id = g_strdup_printf ("%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, s->token, s->next_row++);
+    s->open_row = ft_roster_row (s, id);
+  }
+  return s->open_row;
+}
+
+static void
+join (FtRosterRow *row, FtMachine *machine)
+{
+  machine->row = row;
+  row->bytes += entry_bytes (machine);
+  g_ptr_array_add (row->machines, machine);
+}
+
+void
+ft_roster_add (FtScheduler *s, FtMachine *machine)
+{
+  if (machine->row != NULL || machine->state == FT_MACHINE_GONE || machine->addr == NULL)
+    return;
+  join (row_with_room (s, entry_bytes (machine)), machine);
+  mark_dirty (s, machine->row, s->now);
+}
+
+void
+ft_roster_loaded (FtScheduler *s, FtRosterRow *row, FtMachine *machine)
+{
+  (void) s;
+  join (row, machine);
+  row->stored = TRUE;
+  machine->in_roster = TRUE;
+}
+
+/* A name that stays a while costs the next leader a probe, nothing else. */
+void
+ft_roster_remove (FtScheduler *s, FtMachine *machine)
+{
+  FtRosterRow *row = machine->row;
+  if (g_hash_table_contains (s->drained, machine->name))
+    g_queue_push_tail (&s->marks_drop, g_strdup (machine->name));
+  machine->in_roster = FALSE;
+  if (row == NULL)
+    return;
+  machine->row = NULL;
+  row->bytes -= MIN (row->bytes, entry_bytes (machine));
+  g_ptr_array_remove_fast (row->machines, machine);
+  mark_dirty (s, row, s->now + (gint64) (FT_ROSTER_DROP_AFTER_S * FT_SECOND));
+}
+
+static FtWrite *
+write_of (FtRosterRow *row)
+{
+  FtWrite *write = g_new0 (FtWrite, 1);
+  write->kind = row->machines->len > 0 ? FT_WRITE_ROSTER : FT_WRITE_ROSTER_DROP;
+  write->name = g_strdup (row->id);
+  write->machines = ft_listed_new ();
+  for (guint i = 0; i < row->machines->len; i++) {
+    const FtMachine *m = g_ptr_array_index (row->machines, i);
+    FtListedMachine entry = { .name = g_strdup (m->name),
+                              .addr = g_strdup (m->addr),
+                              .type = g_strdup (m->type_name),
+                              .zone = g_strdup (m->zone),
+                              .spot = m->spot };
+    g_array_append_val (write->machines, entry);
+  }
+  return write;
+}
+
+void
+ft_roster_writes (FtScheduler *s, GPtrArray *writes, guint most)
+{
+  guint n = g_queue_get_length (&s->dirty_rows);
+  for (guint i = 0; i < n && most > 0; i++) {
+    FtRosterRow *row = g_queue_pop_head (&s->dirty_rows);
+    if (row->in_flight || row->write_at > s->now) {
+      g_queue_push_tail (&s->dirty_rows, row);
+      continue;
+    }
+    row->dirty = FALSE;
+    row->in_flight = TRUE;
+    g_ptr_array_add (writes, write_of (row));
+    most--;
+  }
+}
+
+void
+ft_roster_written (FtScheduler *s, const FtWrite *write, gboolean applied)
+{
+  FtRosterRow *row = g_hash_table_lookup (s->rows, write->name);
+  if (row == NULL)
+    return;
+  row->in_flight = FALSE;
+  if (!applied) {
+    mark_dirty (s, row, s->now);
+    return;
+  }
+  row->stored = write->kind == FT_WRITE_ROSTER;
+  for (guint i = 0; i < write->machines->len; i++) {
+    const FtListedMachine *entry = &g_array_index (write->machines, FtListedMachine, i);
+    FtMachine *m = g_hash_table_lookup (s->machines, entry->name);
+    if (m == NULL || m->row != row || m->in_roster)
+      continue;
+    m->in_roster = TRUE;
+    s->dirty = TRUE;
+  }
+  if (!row->stored && !row->dirty && row->machines->len == 0 && row != s->open_row)
+    g_hash_table_remove (s->rows, row->id);
+}
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -27,7 +27,13 @@
   s->gone = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   s->pools = ft_fleet_pools_new ();
   s->order = g_ptr_array_new ();
-  g_queue_init (&s->roster_drop);
+  s->waiting = g_ptr_array_new ();
+  s->rows = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) ft_roster_row_free);
+  g_queue_init (&s->touched);
+  g_queue_init (&s->directs);
+  g_queue_init (&s->returning);
+  g_queue_init (&s->dirty_rows);
+  g_queue_init (&s->marks_drop);
   g_queue_init (&s->closing);
   return s;
 }
@@ -37,13 +43,20 @@
 {
   if (s == NULL)
     return;
-  g_hash_table_unref (s->jobs);
+  /* Attempts know their jobs: machines go first. */
   g_hash_table_unref (s->machines);
+  g_hash_table_unref (s->jobs);
   g_hash_table_unref (s->gone);
   g_hash_table_unref (s->drained);
   g_hash_table_unref (s->pools);
   g_ptr_array_unref (s->order);
-  g_queue_clear_full (&s->roster_drop, g_free);
+  g_ptr_array_unref (s->waiting);
+  g_hash_table_unref (s->rows);
+  g_queue_clear (&s->touched);
+  g_queue_clear (&s->directs);
+  g_queue_clear (&s->returning);
+  g_queue_clear (&s->dirty_rows);
+  g_queue_clear_full (&s->marks_drop, g_free);
   g_queue_clear_full (&s->closing, (GDestroyNotify) ft_write_free);
   g_rand_free (s->random);
   ft_catalog_unref (s->catalog);
@@ -76,6 +89,7 @@
     FtMachine *m = value;
     m->type = ft_catalog_find (catalog, m->type_name);
   }
+  ft_recovery_count (s);
 }
 
 /* ---- jobs ---- */
@@ -88,6 +102,7 @@
     return NULL;
   }
   FtJob *job = ft_job_new (spec, ft_quota_team (s, spec->team), stamp, initial);
+  job->scheduler = s;
   gint64 age_us = MAX (0, wall_ms - spec->submitted_wall_ms) * 1000;
   job->accepted_at = s->now - age_us;
   job->deadline_at = spec->deadline_s > 0 ? job->accepted_at + (gint64) (spec->deadline_s * FT_SECOND) : 0;
@@ -168,31 +183,24 @@
 static void
 close_job (FtScheduler *s, FtJob *job)
 {
-  GHashTableIter machines, attempts;
-  gpointer m, a;
+  g_autoptr (GList) all = g_hash_table_get_keys (job->attempts);
   ft_job_set_state (job, FT_JOB_CLOSED);
-  g_hash_table_iter_init (&machines, s->machines);
-  while (g_hash_table_iter_next (&machines, NULL, &m)) {
-    FtMachine *machine = m;
-    if (machine->last_failed == job)
-      machine->last_failed = NULL;
-    g_hash_table_iter_init (&attempts, machine->attempts);
-    while (g_hash_table_iter_next (&attempts, NULL, &a)) {
-      FtAttempt *attempt = a;
-      if (attempt->job != job)
-        continue;
-      attempt->job = NULL;
-      attempt->bound = FALSE;
-      attempt->forget_ok = attempt->exited;
-      if (!attempt->exited)
-        ft_attempt_want_stop (attempt, 0);
-    }
+  for (GList *l = all; l != NULL; l = l->next) {
+    FtAttempt *attempt = l->data;
+    attempt->job = NULL;
+    attempt->bound = FALSE;
+    attempt->forget_ok = attempt->exited;
+    if (!attempt->exited)
+      ft_attempt_want_stop (attempt, 0);
   }
   for (guint i = 0; i < job->spec->tasks && job->counts[FT_TASK_UNKNOWN] > 0; i++)
     if (job->tasks[i].state == FT_TASK_UNKNOWN)
       ft_task_set_state (job, i, FT_TASK_DROPPED);
   s->open_tasks -= job->spec->tasks;
   s->dirty = TRUE;
+  ft_placement_forget (s, job);
+  if (job->touched)
+    g_queue_remove (&s->touched, job);
   g_hash_table_remove (s->jobs, job->spec->ref);
 }
 
@@ -246,9 +254,9 @@
     return;
   /* One job that fails everywhere is its owner's mistake; different jobs that
    * fail on one machine are the machine's. */
-  if (machine->last_failed != job)
+  if (machine->last_failed != job->stamp)
     machine->failing_jobs++;
-  machine->last_failed = job;
+  machine->last_failed = job->stamp;
   if (machine->failing_jobs >= FT_FAULTY_JOBS && !machine->faulty) {
     machine->faulty = TRUE;
     g_warning ("machine %s: faulty, %u jobs failed on it", machine->name, machine->failing_jobs);
@@ -265,7 +273,7 @@
   s->dirty = TRUE;
   if (a->bound && why == FT_WHY_DONE) {
     machine->failing_jobs = 0;
-    machine->last_failed = NULL;
+    machine->last_failed = 0;
     ft_task_set_state (a->job, a->index, FT_TASK_FINISHED);
     if (a->job->state == FT_JOB_WITHDRAWN)
       ft_task_set_state (a->job, a->index, FT_TASK_DROPPED);
@@ -441,7 +449,7 @@
     /* Rented by a former leader, or by a request executed late. It is in no
      * roster, so it has never been sent a command: it holds no task. */
     machine = ft_machine_new (s, report->machine, report->addr, report->type, report->zone, report->spot);
-    machine->accounted = TRUE;
+    ft_machine_account (machine);
     machine->last_answer = s->now;
     g_hash_table_insert (s->machines, machine->name, machine);
     g_message ("machine %s: first heard of by its report", machine->name);
@@ -476,13 +484,11 @@
     ft_machine_set_state (machine, FT_MACHINE_UP);
     s->dirty = TRUE;
   }
-  if (!machine->in_roster)
-    machine->roster_wanted = TRUE;
+  ft_roster_add (s, machine);
   /* Only a report sent after the worker saw our token counts: before that a
    * command of the former leader may still have been executed. */
   if (report->token >= s->token && !machine->accounted) {
-    machine->accounted = TRUE;
-    s->dirty = TRUE;
+    ft_machine_account (machine);
     g_message ("machine %s: accounted for", machine->name);
   }
   if (report->token >= s->token)
@@ -518,6 +524,12 @@
          && machine->state != FT_MACHINE_RETURNING && a->job->state == FT_JOB_OPEN;
 }
 
+void
+ft_scheduler_allow (FtScheduler *s, gboolean may_start)
+{
+  s->may_start = may_start;
+}
+
 GArray *
 ft_scheduler_answer (FtScheduler *s, const FtReport *report, gint64 now)
 {
@@ -530,6 +542,8 @@
   if (report->session != machine->session || report->sequence != machine->sequence || report->token < s->token
       || machine->session <= machine->lapsed_session)
     return commands;
+  /* What the report has freed is filled by this very answer. */
+  ft_placement_fill (s, machine);
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, machine->attempts);
@@ -623,11 +637,11 @@
 ft_scheduler_next_direct (FtScheduler *s, gint64 now)
 {
   s->now = now;
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init (&it, s->machines);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
-    FtDirect *direct = direct_to (s, value);
+  FtMachine *machine;
+  while ((machine = g_queue_pop_head (&s->directs)) != NULL) {
+    machine->direct_queued = FALSE;
+    s->looked_at++;
+    FtDirect *direct = direct_to (s, machine);
     if (direct != NULL)
       return direct;
   }
@@ -662,6 +676,7 @@
   if (machine == NULL)
     return TRUE;
   machine->command_in_flight = FALSE;
+  ft_machine_queue_direct (machine); /* what has come up meanwhile */
   if (result == FT_DIRECT_UNANSWERED && (report_overdue (s, machine) || !machine->accounted))
     machine->probe_fails++;
   settle_direct (s, machine, direct, result);
@@ -679,13 +694,13 @@
 /* ---- recovery ---- */
 
 void
-ft_scheduler_load_machine (FtScheduler *s, const char *name, const char *addr, const char *type, const char *zone,
-                           gboolean spot)
+ft_scheduler_load_machine (FtScheduler *s, const char *row, const char *name, const char *addr, const char *type,
+                           const char *zone, gboolean spot)
 {
   if (g_hash_table_contains (s->machines, name) || g_hash_table_contains (s->gone, name))
     return;
   FtMachine *machine = ft_machine_new (s, name, addr, type, zone, spot);
-  machine->in_roster = TRUE;
+  ft_roster_loaded (s, ft_roster_row (s, row), machine);
   /* A former leader that lost the store may have answered it until then. */
   machine->last_answer = s->took_over_at + s->hold_us;
   machine->last_report = s->now;
@@ -707,6 +722,7 @@
     if (machine->state == FT_MACHINE_BOOTING && machine->in_roster)
       ft_machine_set_state (machine, FT_MACHINE_UP);
   }
+  ft_recovery_count (s);
   ft_recovery_tick (s);
 }
 
@@ -745,6 +761,24 @@
     ft_machine_set_state (machine, FT_MACHINE_SILENT);
 }
 
+/* A look at what no event tells of: a report that is overdue, a command that
+ * could not be sent when it came up. */
+static gboolean
+wants_direct (const FtScheduler *s, const FtMachine *machine)
+{
+  if (!machine->accounted || report_overdue (s, machine))
+    return s->now >= machine->probe_at;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, machine->attempts);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    const FtAttempt *a = value;
+    if (!a->exited && (a->stop_wanted ? !a->stop_sent : !a->shown))
+      return TRUE;
+  }
+  return FALSE;
+}
+
 void
 ft_scheduler_tick (FtScheduler *s, gint64 now, gboolean may_start)
 {
@@ -756,8 +790,9 @@
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     FtMachine *machine = value;
     check_machine (s, machine);
-    if (machine->state == FT_MACHINE_GONE && !machine->command_in_flight && !machine->return_in_flight
-        && !machine->roster_in_flight)
+    if (wants_direct (s, machine))
+      ft_machine_queue_direct (machine);
+    if (machine->state == FT_MACHINE_GONE && !machine->command_in_flight && !machine->return_in_flight)
       g_hash_table_iter_remove (&it);
   }
   ft_recovery_tick (s);
@@ -771,19 +806,26 @@
 {
   s->now = now;
   s->may_start = may_start;
-  if (s->dirty)
+  /* Many reports come between two passes; what each has freed is filled by its
+   * answer, without one. */
+  if (s->dirty && now >= s->next_pass)
     ft_placement_pass (s);
 }
 
+guint
+ft_scheduler_looked_at (const FtScheduler *s)
+{
+  return s->looked_at;
+}
+
 /* ---- store ---- */
 
 void
 ft_write_free (FtWrite *write)
 {
   g_free (write->name);
-  g_free (write->addr);
-  g_free (write->type);
-  g_free (write->zone);
+  if (write->machines != NULL)
+    g_array_unref (write->machines);
   g_free (write->bits);
   g_free (write);
 }
@@ -797,8 +839,6 @@
     return 2 + (write->chunk > 0); /* the row, the index, the first chunk */
   case FT_WRITE_JOB_GONE:
     return 3;
-  case FT_WRITE_ROSTER_DROP:
-    return 2; /* the row, and an operator's mark on it */
   default:
     return 1;
   }
@@ -834,26 +874,12 @@
 static void
 add_roster (FtScheduler *s, Batch *batch)
 {
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init (&it, s->machines);
-  while (g_hash_table_iter_next (&it, NULL, &value) && batch->left > 0) {
-    FtMachine *m = value;
-    if (!m->roster_wanted || m->in_roster || m->roster_in_flight || m->state == FT_MACHINE_GONE)
-      continue;
-    FtWrite *write = write_new (FT_WRITE_ROSTER_ADD, m->name);
-    write->addr = g_strdup (m->addr);
-    write->type = g_strdup (m->type_name);
-    write->zone = g_strdup (m->zone);
-    write->spot = m->spot;
-    m->roster_in_flight = batch_add (batch, write);
-  }
-  while (batch->left > 0 && !g_queue_is_empty (&s->roster_drop)) {
-    g_autofree char *name = g_queue_pop_head (&s->roster_drop);
-    if (batch_add (batch, write_new (FT_WRITE_ROSTER_DROP, name)))
-      continue;
-    g_queue_push_head (&s->roster_drop, g_steal_pointer (&name));
-    break;
+  guint before = batch->writes->len;
+  ft_roster_writes (s, batch->writes, MIN (batch->left, FT_ROSTER_ROWS_AT_ONCE));
+  batch->left -= batch->writes->len - before;
+  while (batch->left > 0 && !g_queue_is_empty (&s->marks_drop)) {
+    g_autofree char *name = g_queue_pop_head (&s->marks_drop);
+    batch_add (batch, write_new (FT_WRITE_MARK_DROP, name));
   }
 }
 
@@ -872,19 +898,11 @@
 }
 
 static void
-add_job_writes (FtJob *job, Batch *batch)
+add_chunks (FtScheduler *s, FtJob *job, Batch *batch)
 {
-  if (job->final_in_flight || job->conflicted)
-    return;
-  if (job_complete (job) || job_all_gone (job)) {
-    FtWrite *write = write_new (job_complete (job) ? FT_WRITE_JOB_DONE : FT_WRITE_JOB_GONE, job->spec->ref);
-    write->stamp = job->stamp;
-    write->tasks = job->spec->tasks;
-    write->chunk = g_hash_table_size (job->written);
-    job->final_in_flight = batch_add (batch, write);
-    return;
-  }
-  if (job->state != FT_JOB_OPEN)
+  /* A result stays with its worker until it is committed: a chunk that waits a
+   * little covers many, and the end of the job covers all. */
+  if (job->state != FT_JOB_OPEN || s->now < job->chunk_at || g_hash_table_size (job->dirty) == 0)
     return;
   GHashTableIter it;
   gpointer key;
@@ -897,6 +915,36 @@
     if (batch_add (batch, write))
       g_hash_table_iter_remove (&it);
   }
+  job->chunk_at = s->now + (gint64) (FT_CHUNK_EVERY_S * FT_SECOND);
+}
+
+static gboolean
+job_ends (const FtJob *job)
+{
+  return !job->final_in_flight && !job->conflicted && (job_complete (job) || job_all_gone (job));
+}
+
+static void
+add_end (FtJob *job, Batch *batch)
+{
+  FtWrite *write = write_new (job_complete (job) ? FT_WRITE_JOB_DONE : FT_WRITE_JOB_GONE, job->spec->ref);
+  write->stamp = job->stamp;
+  write->tasks = job->spec->tasks;
+  write->chunk = g_hash_table_size (job->written);
+  job->final_in_flight = batch_add (batch, write);
+}
+
+/* Jobs stay in the queue while they have something to write. */
+static void
+keep_touched (FtScheduler *s)
+{
+  guint n = g_queue_get_length (&s->touched);
+  for (guint i = 0; i < n; i++) {
+    FtJob *job = g_queue_pop_head (&s->touched);
+    job->touched = FALSE;
+    if (job_ends (job) || (job->state == FT_JOB_OPEN && g_hash_table_size (job->dirty) > 0))
+      ft_job_touch (job);
+  }
 }
 
 GPtrArray *
@@ -907,17 +955,17 @@
   if (!s->loaded)
     return batch.writes;
   add_roster (s, &batch);
-  GHashTableIter it;
-  gpointer value;
   /* Ends of jobs first: somebody waits for them. */
-  for (int round = 0; round < 2; round++) {
-    g_hash_table_iter_init (&it, s->jobs);
-    while (batch.left > 0 && g_hash_table_iter_next (&it, NULL, &value)) {
-      gboolean end = job_complete (value) || job_all_gone (value);
-      if (end == (round == 0))
-        add_job_writes (value, &batch);
-    }
+  for (GList *l = s->touched.head; l != NULL && batch.left > 0; l = l->next)
+    if (job_ends (l->data))
+      add_end (l->data, &batch);
+  for (GList *l = s->touched.head; l != NULL && batch.left > 0; l = l->next) {
+    const FtJob *job = l->data;
+    if (!job->final_in_flight && !job->conflicted && !job_ends (job))
+      add_chunks (s, l->data, &batch);
   }
+  s->looked_at += g_queue_get_length (&s->touched);
+  keep_touched (s);
   while (batch.left > 0 && !g_queue_is_empty (&s->closing))
     batch_add (&batch, g_queue_pop_head (&s->closing));
   return batch.writes;
@@ -961,24 +1009,14 @@
   }
 }
 
-static void
-roster_written (FtScheduler *s, const char *name)
-{
-  FtMachine *machine = g_hash_table_lookup (s->machines, name);
-  if (machine == NULL)
-    return;
-  machine->roster_in_flight = FALSE;
-  machine->in_roster = TRUE;
-  s->dirty = TRUE;
-}
-
 static void
 write_done (FtScheduler *s, const FtWrite *write)
 {
   FtJob *job = g_hash_table_lookup (s->jobs, write->name);
   switch (write->kind) {
-  case FT_WRITE_ROSTER_ADD:
-    roster_written (s, write->name);
+  case FT_WRITE_ROSTER:
+  case FT_WRITE_ROSTER_DROP:
+    ft_roster_written (s, write, TRUE);
     break;
   case FT_WRITE_CHUNK:
     chunk_written (s, write);
@@ -1008,18 +1046,20 @@
 write_undone (FtScheduler *s, FtWrite *write)
 {
   FtJob *job = g_hash_table_lookup (s->jobs, write->name);
-  FtMachine *machine = g_hash_table_lookup (s->machines, write->name);
   switch (write->kind) {
-  case FT_WRITE_ROSTER_ADD:
-    if (machine != NULL)
-      machine->roster_in_flight = FALSE;
-    break;
+  case FT_WRITE_ROSTER:
   case FT_WRITE_ROSTER_DROP:
-    g_queue_push_tail (&s->roster_drop, g_strdup (write->name));
+    ft_roster_written (s, write, FALSE);
+    break;
+  case FT_WRITE_MARK_DROP:
+    g_queue_push_tail (&s->marks_drop, g_strdup (write->name));
     break;
   case FT_WRITE_CHUNK:
-    if (job != NULL)
-      g_hash_table_add (job->dirty, GUINT_TO_POINTER (write->chunk));
+    if (job == NULL)
+      break;
+    g_hash_table_add (job->dirty, GUINT_TO_POINTER (write->chunk));
+    job->chunk_at = s->now;
+    ft_job_touch (job);
     break;
   case FT_WRITE_CHUNK_DROP: {
     FtWrite *again = write_new (FT_WRITE_CHUNK_DROP, write->name);
@@ -1029,8 +1069,10 @@
   }
   case FT_WRITE_JOB_DONE:
   case FT_WRITE_JOB_GONE:
-    if (job != NULL)
-      job->final_in_flight = FALSE;
+    if (job == NULL)
+      break;
+    job->final_in_flight = FALSE;
+    ft_job_touch (job);
     break;
   }
 }
@@ -1054,6 +1096,7 @@
   if (job == NULL)
     return;
   job->conflicted = FALSE;
+  ft_job_touch (job);
   if (!done) {
     withdraw (s, job);
     return;
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -25,8 +25,9 @@
 /* Takes the spec. */
 void ft_scheduler_load_job (FtScheduler *s, FtJobSpec *spec, guint64 stamp, gint64 now, gint64 wall_ms);
 void ft_scheduler_load_done (FtScheduler *s, const char *ref, guint chunk, const char *bits);
-void ft_scheduler_load_machine (FtScheduler *s, const char *name, const char *addr, const char *type, const char *zone,
-                                gboolean spot);
+/* A machine named by the roster row `row`. */
+void ft_scheduler_load_machine (FtScheduler *s, const char *row, const char *name, const char *addr, const char *type,
+                                const char *zone, gboolean spot);
 void ft_scheduler_loaded (FtScheduler *s, gint64 now);
 gboolean ft_scheduler_is_loaded (const FtScheduler *s);
 
@@ -46,6 +47,8 @@
 /* A report to us. The answer carries ft_scheduler_answer()'s commands. Returns
  * FALSE if the report shows a higher token: the caller must step down. */
 gboolean ft_scheduler_report (FtScheduler *s, const FtReport *report, gint64 now);
+/* Whether the lease is valid now; kept until the next such call, place or tick. */
+void ft_scheduler_allow (FtScheduler *s, gboolean may_start);
 /* The commands for the answer to this report. `starts`: the lease allows it. */
 GArray *ft_scheduler_answer (FtScheduler *s, const FtReport *report, gint64 now);
 
@@ -84,18 +87,18 @@
 
 /* ---- store ---- */
 typedef enum {
-  FT_WRITE_ROSTER_ADD,
-  FT_WRITE_ROSTER_DROP,
-  FT_WRITE_CHUNK, /* a chunk of a job's done-set */
+  FT_WRITE_ROSTER,      /* a row of the roster, with its machines */
+  FT_WRITE_ROSTER_DROP, /* the same, empty */
+  FT_WRITE_MARK_DROP,   /* an operator's mark on a machine that is gone */
+  FT_WRITE_CHUNK,       /* a chunk of a job's done-set */
   FT_WRITE_CHUNK_DROP,
   FT_WRITE_JOB_DONE, /* conditional on the job's stamp */
   FT_WRITE_JOB_GONE, /* all tasks of a withdrawn job are gone */
 } FtWriteKind;
 typedef struct {
   FtWriteKind kind;
-  char *name; /* job or machine */
-  char *addr, *type, *zone;
-  gboolean spot;
+  char *name;       /* job, roster row or machine */
+  GArray *machines; /* FtListedMachine, of a roster row */
   guint chunk, tasks;
   guint64 stamp;
   char *bits;
@@ -114,8 +117,10 @@
 /* ---- time ---- */
 /* `may_start`: the lease is valid now. Placement, timeouts, fleet. */
 void ft_scheduler_tick (FtScheduler *s, gint64 now, gboolean may_start);
-/* Runs a placement pass if anything has changed. */
+/* Runs a placement pass if anything has changed and the last one is a while ago. */
 void ft_scheduler_place (FtScheduler *s, gint64 now, gboolean may_start);
+/* Machines, jobs and attempts looked at so far, in whatever is done for reports. */
+guint ft_scheduler_looked_at (const FtScheduler *s);
 guint ft_scheduler_open_tasks (const FtScheduler *s);
 /* Machines that should be reporting. */
 guint ft_scheduler_up (const FtScheduler *s);
--- a/src/net/worker_endpoint.c
+++ b/src/net/worker_endpoint.c
@@ -39,9 +39,7 @@
     redirect (node, request);
     return;
   }
-  /* What the report has freed is filled by this very answer. */
-  if (ft_scheduler_is_loaded (node->scheduler))
-    ft_scheduler_place (node->scheduler, now, ft_lease_may_start (node->lease, now));
+  ft_scheduler_allow (node->scheduler, ft_lease_may_start (node->lease, now));
   g_autoptr (GArray) commands = ft_scheduler_answer (node->scheduler, report, now);
   ft_http_respond (request, 200, ft_message_answer (ft_lease_token (node->lease), commands));
   ft_node_pump (node);
--- a/src/wire/store.c
+++ b/src/wire/store.c
@@ -124,9 +124,9 @@
 }
 
 static char *
-key_machine (const char *name)
+key_roster (const char *row)
 {
-  return g_strconcat (FT_PREFIX_ROSTER, name, NULL);
+  return g_strconcat (FT_PREFIX_ROSTER, row, NULL);
 }
 
 char *
@@ -288,19 +288,36 @@
   return json_string_value (json_object_get (value, "bits"));
 }
 
-gboolean
-ft_row_machine_parse (FtScheduler *s, const FtRow *row)
+static gboolean
+read_machine (FtScheduler *s, const char *row, const char *name, const json_t *v)
 {
   g_autofree char *addr = NULL, *type = NULL, *zone = NULL;
   gboolean spot;
-  if (!g_str_has_prefix (row->key, FT_PREFIX_ROSTER) || !ft_field_text (row->value, "addr", FT_TEXT_MOST, &addr)
-      || !ft_field_text (row->value, "type", FT_TEXT_MOST, &type)
-      || !ft_field_text (row->value, "zone", FT_TEXT_MOST, &zone) || !ft_field_bool (row->value, "spot", &spot))
+  if (!ft_field_text (v, "addr", FT_TEXT_MOST, &addr) || !ft_field_text (v, "type", FT_TEXT_MOST, &type)
+      || !ft_field_text (v, "zone", FT_TEXT_MOST, &zone) || !ft_field_bool (v, "spot", &spot))
     return FALSE;
-  ft_scheduler_load_machine (s, row->key + strlen (FT_PREFIX_ROSTER), addr, type, zone, spot);
+  ft_scheduler_load_machine (s, row, name, addr, type, zone, spot);
   return TRUE;
 }
 
+gboolean
+ft_row_machine_parse (FtScheduler *s, const FtRow *row)
+{
+  if (!g_str_has_prefix (row->key, FT_PREFIX_ROSTER))
+    return FALSE;
+  const char *id = row->key + strlen (FT_PREFIX_ROSTER);
+  const json_t *list = json_object_get (row->value, "machines");
+  if (list == NULL)
+    return read_machine (s, id, id, row->value); /* rows of before name one machine, by their key */
+  gboolean all = json_is_array (list);
+  for (size_t i = 0; i < json_array_size (list); i++) {
+    const json_t *item = json_array_get (list, i);
+    g_autofree char *name = NULL;
+    all &= ft_field_text (item, "name", FT_TEXT_MOST, &name) && read_machine (s, id, name, item);
+  }
+  return all;
+}
+
 const char *
 ft_key_drained_name (const char *key)
 {
@@ -378,20 +395,32 @@
   ft_txn_delete (txn, chunk);
 }
 
+static json_t *
+roster_value (const GArray *machines)
+{
+  json_t *list = json_array ();
+  for (guint i = 0; i < machines->len; i++) {
+    const FtListedMachine *m = &g_array_index (machines, FtListedMachine, i);
+    json_array_append_new (list, json_pack ("{s:s, s:s, s:s, s:s, s:b}", "name", m->name, "addr", m->addr, "type",
+                                            m->type, "zone", m->zone, "spot", m->spot));
+  }
+  return json_pack ("{s:o}", "machines", list);
+}
+
 void
 ft_txn_add_write (json_t *txn, const FtWrite *w)
 {
   g_autofree char *key = NULL;
   switch (w->kind) {
-  case FT_WRITE_ROSTER_ADD:
-    key = key_machine (w->name);
-    ft_txn_put (txn, key,
-                json_pack ("{s:s, s:s, s:s, s:b}", "addr", w->addr, "type", w->type, "zone", w->zone, "spot", w->spot));
+  case FT_WRITE_ROSTER:
+    key = key_roster (w->name);
+    ft_txn_put (txn, key, roster_value (w->machines));
     break;
   case FT_WRITE_ROSTER_DROP:
-    key = key_machine (w->name);
+    key = key_roster (w->name);
     ft_txn_delete (txn, key);
-    g_free (key);
+    break;
+  case FT_WRITE_MARK_DROP:
     key = ft_key_drained (w->name);
     ft_txn_delete (txn, key);
     break;
--- a/src/wire/store.h
+++ b/src/wire/store.h
@@ -7,7 +7,7 @@
  *   j/REF            a job's state: open, done, cancelled; kept for ever
  *   o/REF            an open job as submitted; o/REF/w once it is withdrawn
  *   d/REF/CHUNK      a chunk of an open job's done-set
- *   m/NAME           a machine that may have been sent commands
+ *   m/ROW            machines that may have been sent commands
  *   a/NAME           a machine that an operator has drained
  *   s/settings       the operators' settings; its stamp is their version
  */
--- a/tests/test_units.cpp
+++ b/tests/test_units.cpp
@@ -315,7 +315,7 @@
 {
   Bench b;
   ft_scheduler_load_job (b.s, spec ("req-1", 2), 5, 100 * kS, 0);
-  ft_scheduler_load_machine (b.s, "n-1", "10.1.0.1:9000", "std", "a", FALSE);
+  ft_scheduler_load_machine (b.s, "row-1", "n-1", "10.1.0.1:9000", "std", "a", FALSE);
   ft_scheduler_loaded (b.s, 100 * kS);
   // A report sent before the worker saw the new token accounts for nothing.
   g_autoptr (FtReport) old_report = b.report (1, 1, 2);
@@ -335,7 +335,7 @@
 {
   Bench b;
   ft_scheduler_set_early (b.s);
-  ft_scheduler_load_machine (b.s, "n-9", "10.1.0.9:9000", "std", "a", FALSE);
+  ft_scheduler_load_machine (b.s, "row-1", "n-9", "10.1.0.9:9000", "std", "a", FALSE);
   ft_scheduler_loaded (b.s, 100 * kS);
   b.machine_up (100 * kS);
   ft_scheduler_job_added (b.s, spec ("req-1", 1), 5, 100 * kS, 0);
@@ -440,16 +440,17 @@
   Bench b;
   ft_scheduler_loaded (b.s, 100 * kS);
   b.machine_up (100 * kS);
-  guint64 sequence = 2;
+  guint64 sequence = 2, stamp = 5;
+  gint64 now = 100 * kS;
   for (const char *ref : { "req-1", "req-2" }) {
-    ft_scheduler_job_added (b.s, spec (ref, 1), 5, 100 * kS, 0);
-    g_autoptr (GArray) starts = b.exchange (101 * kS, sequence++);
+    ft_scheduler_job_added (b.s, spec (ref, 1), stamp++, now += kS, 0);
+    g_autoptr (GArray) starts = b.exchange (now, sequence++);
     ASSERT_EQ (count (starts, FT_COMMAND_START), 1u);
     FtReportedTask t
         = { (char *) ref, 0, g_array_index (starts, FtCommand, 0).attempt, FT_REPORTED_EXITED, FT_WHY_ERROR, FALSE };
-    g_autoptr (GArray) rest = b.exchange (101 * kS, sequence++, { t });
+    g_autoptr (GArray) rest = b.exchange (now, sequence++, { t });
   }
-  ft_scheduler_tick (b.s, 102 * kS, TRUE);
+  ft_scheduler_tick (b.s, now + kS, TRUE);
   FtMachine *m = (FtMachine *) g_hash_table_lookup (b.s->machines, "n-1");
   EXPECT_EQ (m->state, FT_MACHINE_RETURNING);
 }
@@ -493,7 +494,7 @@
 {
   Bench b;
   ft_scheduler_load_job (b.s, spec ("req-1", 20), 5, 100 * kS, 0); // 80 CPUs unknown
-  ft_scheduler_load_machine (b.s, "n-9", "10.1.0.9:9000", "std", "a", FALSE);
+  ft_scheduler_load_machine (b.s, "row-1", "n-9", "10.1.0.9:9000", "std", "a", FALSE);
   ft_scheduler_loaded (b.s, 100 * kS);
   g_autoptr (FtJobSpec) wanted = spec ("req-2", 1);
   FtTeam *red = ft_quota_team (b.s, "red");
