--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -171,8 +171,6 @@
 /* Seconds after the end of a spot notice at which a machine that has not reported
  * since counts as taken. */
 #define FT_NOTICE_MARGIN_S 0.5
-/* Idle machines returned in one look. */
-#define FT_RETURN_IDLE_MOST 2
 /* Seconds before a return that failed is tried again. */
 #define FT_RETURN_RETRY_S 1.0
 #define FT_RENT_MOST 50
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -414,6 +414,16 @@
          && s->now - m->rented_at > (gint64) (FT_LEAST_CHARGED_S * FT_SECOND) && !m->command_in_flight;
 }
 
+/* Ordinary machines first, they cost more; among equals the longest idle. */
+static gint
+worst_first (gconstpointer a, gconstpointer b)
+{
+  const FtMachine *x = *(FtMachine *const *) a, *y = *(FtMachine *const *) b;
+  if (x->spot != y->spot)
+    return x->spot ? 1 : -1;
+  return x->idle_since < y->idle_since ? -1 : x->idle_since > y->idle_since;
+}
+
 static void
 return_idle (FtScheduler *s)
 {
@@ -421,20 +431,18 @@
   /* One machine stands by while there is work, none on a site without any. */
   double standby = g_hash_table_size (s->jobs) > 0 ? 1 : 0;
   double spare = supply.free - headroom (s) * supply.in_use - standby;
-  for (guint n = 0; n < FT_RETURN_IDLE_MOST && spare >= 1; n++, spare--) {
-    FtMachine *worst = NULL;
-    GHashTableIter it;
-    gpointer value;
-    g_hash_table_iter_init (&it, s->machines);
-    while (g_hash_table_iter_next (&it, NULL, &value)) {
-      FtMachine *m = value;
-      if (returnable (s, m) && (worst == NULL || (worst->spot && !m->spot)))
-        worst = m;
-    }
-    if (worst == NULL)
-      return;
-    return_machine (s, worst, "idle");
-  }
+  if (spare < 1)
+    return;
+  g_autoptr (GPtrArray) idle = g_ptr_array_new ();
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    if (returnable (s, value))
+      g_ptr_array_add (idle, value);
+  g_ptr_array_sort (idle, worst_first);
+  for (guint i = 0; i < idle->len && spare >= 1; i++, spare--)
+    return_machine (s, g_ptr_array_index (idle, i), "idle");
 }
 
 void
