--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -270,6 +270,9 @@
 #define FT_CONNECTIONS_PER_HOST 12
 /* Seconds an unused client connection is kept. */
 #define FT_CLIENT_IDLE_S 30
+/* Largest answer taken in, in bytes: a page of the store has 512 KiB, a watch that
+ * fell behind more. */
+#define FT_ANSWER_MOST (32u << 20)
 /* Bytes of a body beyond which the connection is closed unread. */
 #define FT_BODY_CUT (4UL * FT_BODY_MOST)
 /* Longest pause in seconds between tries at a service that fails. */
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -109,6 +109,8 @@
   s->open_tasks += spec->tasks;
   s->dirty = TRUE;
   g_hash_table_insert (s->jobs, spec->ref, job);
+  g_message ("job %s: %s of %s, %u tasks, %.1f s ago", spec->ref, spec->job_class, spec->team, spec->tasks,
+             (double) age_us / FT_SECOND);
   return job;
 }
 
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -1,4 +1,4 @@
-/* HTTP server on libmicrohttpd, client on libsoup. Bodies are value trees; users,
+/* HTTP server on libmicrohttpd, client on libcurl. Bodies are value trees; users,
  * workers, cloud and state service speak CBOR, the mesh and the admin API JSON. */
 #pragma once
 #include <glib.h>
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -1,9 +1,12 @@
-#include "net/http.h"
-
-#include <libsoup/soup.h>
+/* The HTTP client: libcurl's multi interface, driven by the main loop. libsoup's
+ * client takes several times as much for a request on a connection of its own, and
+ * a takeover asks every machine once: docs/design.md has the measurement. */
+#include <curl/curl.h>
+#include <glib-unix.h>
 #include <string.h>
 
 #include "core/constants.h"
+#include "net/http.h"
 #include "wire/cbor.h"
 
 /* ---- bodies ---- */
@@ -35,25 +38,157 @@
 /* ---- client ---- */
 
 struct _FtHttpClient {
-  SoupSession *session;
+  CURLM *multi;
+  struct curl_slist *headers[FT_BODY_JSON + 1];
+  GHashTable *calls; /* set of Call under way */
+  GQueue spare;      /* CURL handles to use again */
+  guint timer;
+  gboolean closing;
 };
 
 typedef struct {
-  SoupMessage *msg;
+  FtHttpClient *client;
+  CURL *easy;
   FtBodyKind kind;
-  GCancellable *cancel;
-  guint timer;
+  GBytes *body;
+  GByteArray *answer;
   FtHttpDone done;
   gpointer data;
 } Call;
 
+/* What the library watches a socket with. */
+typedef struct {
+  FtHttpClient *client;
+  guint source;
+} Watch;
+
+static void
+call_free (Call *call)
+{
+  curl_easy_reset (call->easy);
+  g_queue_push_tail (&call->client->spare, call->easy);
+  g_clear_pointer (&call->body, g_bytes_unref);
+  g_byte_array_unref (call->answer);
+  g_free (call);
+}
+
+static void
+call_over (Call *call, CURLcode code)
+{
+  long status = 0;
+  if (code == CURLE_OK)
+    curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+  curl_multi_remove_handle (call->client->multi, call->easy);
+  g_hash_table_remove (call->client->calls, call);
+  json_t *body = status != 0 ? ft_http_decode (call->kind, call->answer->data, call->answer->len) : NULL;
+  call->done ((guint) status, body, call->data);
+  json_decref (body);
+  call_free (call);
+}
+
+static void
+take_finished (FtHttpClient *client)
+{
+  CURLMsg *msg;
+  int left;
+  while ((msg = curl_multi_info_read (client->multi, &left)) != NULL) {
+    Call *call;
+    if (msg->msg != CURLMSG_DONE)
+      continue;
+    CURLcode code = msg->data.result;
+    curl_easy_getinfo (msg->easy_handle, CURLINFO_PRIVATE, (char **) &call);
+    call_over (call, code);
+  }
+}
+
+static gboolean
+on_socket (gint fd, GIOCondition condition, gpointer data)
+{
+  FtHttpClient *client = ((Watch *) data)->client;
+  int running, events = (condition & G_IO_IN ? CURL_CSELECT_IN : 0) | (condition & G_IO_OUT ? CURL_CSELECT_OUT : 0)
+                        | (condition & (G_IO_ERR | G_IO_HUP) ? CURL_CSELECT_ERR : 0);
+  curl_multi_socket_action (client->multi, fd, events, &running);
+  take_finished (client);
+  return G_SOURCE_CONTINUE;
+}
+
+static int
+watch_socket (CURL *easy, curl_socket_t fd, int what, void *data, void *socket_data)
+{
+  FtHttpClient *client = data;
+  Watch *watch = socket_data;
+  (void) easy;
+  if (watch != NULL)
+    g_source_remove (watch->source); /* frees it */
+  if (what == CURL_POLL_REMOVE) {
+    curl_multi_assign (client->multi, fd, NULL);
+    return 0;
+  }
+  watch = g_new0 (Watch, 1);
+  watch->client = client;
+  GIOCondition condition = (what & CURL_POLL_IN ? G_IO_IN : 0) | (what & CURL_POLL_OUT ? G_IO_OUT : 0);
+  watch->source = g_unix_fd_add_full (G_PRIORITY_DEFAULT, fd, condition, on_socket, watch, g_free);
+  curl_multi_assign (client->multi, fd, watch);
+  return 0;
+}
+
+static gboolean
+on_timer (gpointer data)
+{
+  FtHttpClient *client = data;
+  int running;
+  client->timer = 0;
+  curl_multi_socket_action (client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  take_finished (client);
+  return G_SOURCE_REMOVE;
+}
+
+static int
+set_timer (CURLM *multi, long after_ms, void *data)
+{
+  FtHttpClient *client = data;
+  (void) multi;
+  if (client->timer != 0)
+    g_source_remove (client->timer);
+  client->timer = 0;
+  if (after_ms == 0)
+    client->timer = g_idle_add_full (G_PRIORITY_DEFAULT, on_timer, client, NULL);
+  else if (after_ms > 0)
+    client->timer = g_timeout_add ((guint) after_ms, on_timer, client);
+  return 0;
+}
+
+static struct curl_slist *
+header_list (FtBodyKind kind)
+{
+  g_autofree char *type = g_strconcat ("Content-Type: ", ft_http_content_type (kind), NULL);
+  struct curl_slist *list = curl_slist_append (NULL, type);
+  list = curl_slist_append (list, "Accept:");
+  return curl_slist_append (list, "Expect:");
+}
+
 FtHttpClient *
 ft_http_client_new (guint per_host, guint most)
 {
+  static gsize ready;
+  if (g_once_init_enter (&ready)) {
+    curl_global_init (CURL_GLOBAL_NOTHING); /* plain HTTP only */
+    g_once_init_leave (&ready, 1);
+  }
   FtHttpClient *client = g_new0 (FtHttpClient, 1);
-  client->session = soup_session_new_with_options ("max-conns", (int) most, "max-conns-per-host", (int) per_host,
-                                                   "idle-timeout", FT_CLIENT_IDLE_S, "timeout", 0, NULL);
-  soup_session_set_proxy_resolver (client->session, NULL);
+  client->multi = curl_multi_init ();
+  client->calls = g_hash_table_new (g_direct_hash, g_direct_equal);
+  g_queue_init (&client->spare);
+  for (int kind = 0; kind <= FT_BODY_JSON; kind++)
+    client->headers[kind] = header_list ((FtBodyKind) kind);
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, set_timer);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERDATA, client);
+  curl_multi_setopt (client->multi, CURLMOPT_PIPELINING, (long) CURLPIPE_NOTHING);
+  curl_multi_setopt (client->multi, CURLMOPT_MAX_HOST_CONNECTIONS, (long) per_host);
+  curl_multi_setopt (client->multi, CURLMOPT_MAX_TOTAL_CONNECTIONS, (long) most);
+  curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS, (long) most);
   return client;
 }
 
@@ -62,37 +197,58 @@
 {
   if (client == NULL)
     return;
-  soup_session_abort (client->session);
-  g_object_unref (client->session);
+  g_autoptr (GList) calls = g_hash_table_get_keys (client->calls);
+  for (GList *l = calls; l != NULL; l = l->next) {
+    Call *call = l->data;
+    curl_multi_remove_handle (client->multi, call->easy);
+    call_free (call);
+  }
+  CURL *easy;
+  while ((easy = g_queue_pop_head (&client->spare)) != NULL)
+    curl_easy_cleanup (easy);
+  curl_multi_cleanup (client->multi);
+  if (client->timer != 0)
+    g_source_remove (client->timer);
+  for (int kind = 0; kind <= FT_BODY_JSON; kind++)
+    curl_slist_free_all (client->headers[kind]);
+  g_hash_table_unref (client->calls);
   g_free (client);
 }
 
-static gboolean
-on_timeout (gpointer data)
+static size_t
+on_data (char *data, size_t size, size_t n, void *user)
 {
-  Call *call = data;
-  call->timer = 0;
-  g_cancellable_cancel (call->cancel);
-  return G_SOURCE_REMOVE;
+  Call *call = user;
+  if (call->answer->len + size * n > FT_ANSWER_MOST)
+    return 0; /* ends the request */
+  g_byte_array_append (call->answer, (const guint8 *) data, (guint) (size * n));
+  return size * n;
 }
 
 static void
-on_answer (GObject *source, GAsyncResult *result, gpointer data)
-{
-  Call *call = data;
-  g_autoptr (GError) error = NULL;
-  g_autoptr (GBytes) bytes = soup_session_send_and_read_finish (SOUP_SESSION (source), result, &error);
-  if (call->timer != 0)
-    g_source_remove (call->timer);
-  guint status = error == NULL ? soup_message_get_status (call->msg) : 0;
-  gsize size = 0;
-  const guint8 *text = status != 0 ? g_bytes_get_data (bytes, &size) : NULL;
-  json_t *body = ft_http_decode (call->kind, text, size);
-  call->done (status, body, call->data);
-  json_decref (body);
-  g_object_unref (call->msg);
-  g_object_unref (call->cancel);
-  g_free (call);
+set_options (Call *call, const char *method, const char *uri, double timeout_s, gboolean once)
+{
+  CURL *easy = call->easy;
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
+  curl_easy_setopt (easy, CURLOPT_URL, uri);
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, method);
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long) CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long) (timeout_s * 1000));
+  curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, (long) FT_CLIENT_IDLE_S);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_data);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->client->headers[call->kind]);
+  /* A request on a new connection is never repeated by the library. */
+  curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, once ? 1L : 0L);
+  curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, once ? 1L : 0L);
+  if (call->body == NULL)
+    return;
+  gsize size;
+  const void *data = g_bytes_get_data (call->body, &size);
+  curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE, (long) size);
+  curl_easy_setopt (easy, CURLOPT_POSTFIELDS, data);
 }
 
 void
@@ -100,26 +256,18 @@
               const json_t *body, double timeout_s, gboolean once, FtHttpDone done, gpointer data)
 {
   g_autofree char *uri = g_strconcat ("http://", addr, path, NULL);
-  SoupMessage *msg = soup_message_new (method, uri);
-  if (msg == NULL) {
-    g_warning ("http: %s is no address", addr);
-    done (0, NULL, data);
-    return;
-  }
   Call *call = g_new0 (Call, 1);
-  call->msg = msg;
+  call->client = client;
   call->kind = kind;
+  call->answer = g_byte_array_new ();
   call->done = done;
   call->data = data;
-  call->cancel = g_cancellable_new ();
-  soup_message_add_flags (msg, SOUP_MESSAGE_NO_REDIRECT);
-  soup_message_add_flags (msg, once ? SOUP_MESSAGE_NEW_CONNECTION : SOUP_MESSAGE_IDEMPOTENT);
-  if (once)
-    soup_message_headers_replace (soup_message_get_request_headers (msg), "Connection", "close");
-  if (body != NULL) {
-    g_autoptr (GBytes) bytes = ft_http_encode (kind, body);
-    soup_message_set_request_body_from_bytes (msg, ft_http_content_type (kind), bytes);
-  }
-  call->timer = g_timeout_add ((guint) (timeout_s * 1000), on_timeout, call);
-  soup_session_send_and_read_async (client->session, msg, G_PRIORITY_DEFAULT, call->cancel, on_answer, call);
+  call->easy = g_queue_pop_head (&client->spare);
+  if (call->easy == NULL)
+    call->easy = curl_easy_init ();
+  if (body != NULL)
+    call->body = ft_http_encode (kind, body);
+  set_options (call, method, uri, timeout_s, once);
+  g_hash_table_add (client->calls, call);
+  curl_multi_add_handle (client->multi, call->easy);
 }
