--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -76,6 +76,13 @@
 #define FT_PROBE_EVERY_S 1.0
 /* Seconds beyond the longest ordinary gap after which a report is overdue. */
 #define FT_OVERDUE_MARGIN_S 1.0
+/* Longest pause between probes of a machine that does not answer, in doublings of the
+ * first; probes under way at once: a cut zone's must not keep out the others. */
+#define FT_PROBE_DOUBLINGS 3
+#define FT_PROBES_MOST 48
+/* Seconds between two ticks from which this controller was late itself, and what it
+ * has not heard meanwhile counts against no machine. */
+#define FT_LATE_TICK_S 1.5
 /* Probes without answer, once the report is overdue, after which a machine counts
  * as silent; and the same for a machine not heard since the takeover. */
 #define FT_PROBES 1
@@ -263,7 +270,7 @@
 /* Seconds between two ticks of the scheduler. */
 #define FT_SCHEDULER_TICK_S 0.5
 /* Direct commands under way at once. */
-#define FT_DIRECT_MOST 24
+#define FT_DIRECT_MOST 96
 /* Cloud calls under way at once. */
 #define FT_CLOUD_CALLS_MOST 3
 /* Connections kept to one host by the client. */
--- a/src/core/machine.c
+++ b/src/core/machine.c
@@ -72,9 +72,20 @@
   g_queue_push_tail (&machine->scheduler->directs, machine);
 }
 
+void
+ft_machine_queue_probe (FtMachine *machine)
+{
+  if (machine->probe_queued || machine->state == FT_MACHINE_GONE)
+    return;
+  machine->probe_queued = TRUE;
+  g_queue_push_tail (&machine->scheduler->probes, machine);
+}
+
 void
 ft_machine_free (FtMachine *machine)
 {
+  if (machine->probe_queued)
+    g_queue_remove (&machine->scheduler->probes, machine);
   if (machine->direct_queued)
     g_queue_remove (&machine->scheduler->directs, machine);
   g_hash_table_unref (machine->attempts);
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -91,7 +91,7 @@
   gboolean accounted; /* heard under our token, or certainly empty; ft_machine_account() sets it */
   FtRosterRow *row;   /* the roster row that names it; NULL: none yet */
   gboolean in_roster; /* that row is committed */
-  gboolean direct_queued;
+  gboolean direct_queued, probe_queued;
   gboolean drained; /* by an operator */
   gboolean faulty;
   gboolean listed_running;
@@ -153,15 +153,18 @@
   GPtrArray *order;     /* open jobs in order of placement, as of the last pass */
   GPtrArray *waiting;   /* those of them that had tasks to place */
   gint64 next_pass;
-  GPtrArray *victims;    /* scratch of a pass: FtAttempt that may be stopped, youngest first; NULL: not made */
-  guint stops_pending;   /* with `victims`: stops under way */
-  guint looked_at;       /* machines and jobs looked at so far: what bounds of work are tested on */
-  GQueue touched;        /* FtJob that may have something to write */
-  GQueue directs;        /* FtMachine that may want a direct request */
-  GQueue returning;      /* FtMachine to be returned */
-  GHashTable *rows;      /* id -> FtRosterRow, owned */
-  GQueue dirty_rows;     /* FtRosterRow */
-  FtRosterRow *open_row; /* the one that takes new machines */
+  GPtrArray *victims;  /* scratch of a pass: FtAttempt that may be stopped, youngest first; NULL: not made */
+  guint stops_pending; /* with `victims`: stops under way */
+  guint looked_at;     /* machines and jobs looked at so far: what bounds of work are tested on */
+  GQueue touched;      /* FtJob that may have something to write */
+  GQueue directs;      /* FtMachine that may want a direct request */
+  GQueue probes;       /* FtMachine to be asked whether they are there */
+  guint probes_in_flight;
+  gint64 last_tick, hearing_since; /* silence before the latter proves nothing: we were late ourselves */
+  GQueue returning;                /* FtMachine to be returned */
+  GHashTable *rows;                /* id -> FtRosterRow, owned */
+  GQueue dirty_rows;               /* FtRosterRow */
+  FtRosterRow *open_row;           /* the one that takes new machines */
   guint64 next_row;
   guint unaccounted; /* machines not accounted for, and what they can hold */
   double unaccounted_cpus, unaccounted_gpus;
@@ -197,6 +200,7 @@
 void ft_machine_account (FtMachine *machine);
 /* The machine may want a direct request. */
 void ft_machine_queue_direct (FtMachine *machine);
+void ft_machine_queue_probe (FtMachine *machine);
 /* The job may have something to write. */
 void ft_job_touch (FtJob *job);
 guint ft_machine_room (const FtMachine *machine, const FtJobSpec *spec);
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -3,6 +3,12 @@
 #include "core/fleet.h"
 #include "core/model.h"
 
+static gint64
+seconds (double s)
+{
+  return (gint64) (s * FT_SECOND);
+}
+
 /* ---- life ---- */
 
 FtScheduler *
@@ -31,6 +37,7 @@
   s->rows = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) ft_roster_row_free);
   g_queue_init (&s->touched);
   g_queue_init (&s->directs);
+  g_queue_init (&s->probes);
   g_queue_init (&s->returning);
   g_queue_init (&s->dirty_rows);
   g_queue_init (&s->marks_drop);
@@ -54,6 +61,7 @@
   g_hash_table_unref (s->rows);
   g_queue_clear (&s->touched);
   g_queue_clear (&s->directs);
+  g_queue_clear (&s->probes);
   g_queue_clear (&s->returning);
   g_queue_clear (&s->dirty_rows);
   g_queue_clear_full (&s->marks_drop, g_free);
@@ -593,13 +601,37 @@
   return direct;
 }
 
+/* Since when the machine is silent, for all we can tell. */
+static gint64
+silent_since (const FtScheduler *s, const FtMachine *machine)
+{
+  return MAX (machine->last_report, s->hearing_since);
+}
+
 /* The ordinary gap between two reports is over: a probe tells whether the
  * machine or only the exchange is lost. */
 static gboolean
 report_overdue (const FtScheduler *s, const FtMachine *machine)
 {
   double gap = s->settings->report_s * FT_REPORT_GAP + FT_OVERDUE_MARGIN_S;
-  return s->now - machine->last_report > (gint64) (gap * FT_SECOND);
+  return s->now - silent_since (s, machine) > (gint64) (gap * FT_SECOND);
+}
+
+static gboolean
+wants_probe (const FtScheduler *s, const FtMachine *machine)
+{
+  gboolean ask = !machine->accounted || (machine->state == FT_MACHINE_UP && report_overdue (s, machine));
+  return ask && s->now >= machine->probe_at && machine->addr != NULL && !machine->command_in_flight
+         && machine->state != FT_MACHINE_GONE;
+}
+
+static FtDirect *
+probe (FtScheduler *s, FtMachine *machine)
+{
+  guint pause = 1u << MIN (machine->probe_fails, FT_PROBE_DOUBLINGS);
+  machine->probe_at = s->now + (gint64) (FT_PROBE_EVERY_S * pause * FT_SECOND);
+  s->probes_in_flight++;
+  return direct_new (machine, ft_commands_new ());
 }
 
 static FtDirect *
@@ -607,11 +639,6 @@
 {
   if (machine->command_in_flight || machine->addr == NULL)
     return NULL;
-  gboolean ask = !machine->accounted || (machine->state == FT_MACHINE_UP && report_overdue (s, machine));
-  if (ask && s->now >= machine->probe_at && machine->state != FT_MACHINE_GONE) {
-    machine->probe_at = s->now + (gint64) (FT_PROBE_EVERY_S * FT_SECOND);
-    return direct_new (machine, ft_commands_new ());
-  }
   if (machine->state != FT_MACHINE_UP || !machine->accounted || machine->session <= machine->lapsed_session)
     return NULL;
   GArray *commands = ft_commands_new ();
@@ -647,6 +674,14 @@
     if (direct != NULL)
       return direct;
   }
+  /* Those that do not answer keep their place for long: commands go first, and
+   * only so many are asked at a time. */
+  while (s->probes_in_flight < FT_PROBES_MOST && (machine = g_queue_pop_head (&s->probes)) != NULL) {
+    machine->probe_queued = FALSE;
+    s->looked_at++;
+    if (wants_probe (s, machine))
+      return probe (s, machine);
+  }
   return NULL;
 }
 
@@ -673,6 +708,8 @@
 {
   s->now = now;
   FtMachine *machine = g_hash_table_lookup (s->machines, direct->machine);
+  if (direct->commands->len == 0)
+    s->probes_in_flight--;
   if (report != NULL && report->token > s->token)
     return FALSE;
   if (machine == NULL)
@@ -687,8 +724,10 @@
   if (machine->state != FT_MACHINE_RETURNING || !machine->accounted)
     apply_report (s, machine, report, FALSE);
   /* Refused for its session: ask again at once with the right one. */
-  if (result == FT_DIRECT_CONFLICT && !machine->accounted)
+  if (result == FT_DIRECT_CONFLICT && !machine->accounted) {
     machine->probe_at = now;
+    ft_machine_queue_probe (machine);
+  }
   ft_recovery_tick (s);
   return TRUE;
 }
@@ -736,12 +775,6 @@
 
 /* ---- time ---- */
 
-static gint64
-seconds (double s)
-{
-  return (gint64) (s * FT_SECOND);
-}
-
 static void
 check_machine (FtScheduler *s, FtMachine *machine)
 {
@@ -757,19 +790,20 @@
     machine->lapsed_session = machine->session;
   }
   double silence = s->settings->report_s * FT_REPORT_GAP + FT_WORKER_TIMEOUT_S + FT_SILENCE_MARGIN_S;
-  gboolean silent = s->now - machine->last_report > seconds (silence)
-                    || machine->probe_fails >= (machine->accounted ? FT_PROBES : FT_PROBES_TAKEOVER);
+  /* Probes alone tell nothing while a report is not due: right after a takeover
+   * this controller is busy, and gives back no healthy fleet for its own lateness. */
+  gboolean silent = s->now - silent_since (s, machine) > seconds (silence)
+                    || (report_overdue (s, machine)
+                        && machine->probe_fails >= (machine->accounted ? FT_PROBES : FT_PROBES_TAKEOVER));
   if (machine->state == FT_MACHINE_UP && silent)
     ft_machine_set_state (machine, FT_MACHINE_SILENT);
 }
 
-/* A look at what no event tells of: a report that is overdue, a command that
+/* A look at what no event tells of: a command that
  * could not be sent when it came up. */
 static gboolean
-wants_direct (const FtScheduler *s, const FtMachine *machine)
+wants_direct (const FtMachine *machine)
 {
-  if (!machine->accounted || report_overdue (s, machine))
-    return s->now >= machine->probe_at;
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, machine->attempts);
@@ -788,12 +822,17 @@
   gpointer value;
   s->now = now;
   s->may_start = may_start;
+  if (s->last_tick > 0 && now - s->last_tick > seconds (FT_LATE_TICK_S))
+    s->hearing_since = now;
+  s->last_tick = now;
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     FtMachine *machine = value;
     check_machine (s, machine);
-    if (wants_direct (s, machine))
+    if (wants_direct (machine))
       ft_machine_queue_direct (machine);
+    if (wants_probe (s, machine))
+      ft_machine_queue_probe (machine);
     if (machine->state == FT_MACHINE_GONE && !machine->command_in_flight && !machine->return_in_flight)
       g_hash_table_iter_remove (&it);
   }
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -23,7 +23,8 @@
   double report_s, lease_s, cancel_s; /* workers */
   double list_lag_s, cloud_rps;       /* cloud */
   double state_rps, state_write_rps;  /* state service */
-  guint value_kb, txn_ops;
+  double value_kb;                    /* largest value of a row */
+  guint txn_ops;
   guint size; /* number of controllers */
 } FtSettings;
 
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -351,6 +351,7 @@
   settings.list_lag_s = 3;
   settings.cloud_rps = 3;
   settings.txn_ops = 12;
+  settings.value_kb = 1;
   settings.size = 3;
   catalog = ft_catalog_new ();
   FtMachineType *type = g_new0 (FtMachineType, 1);
--- a/tests/test_units.cpp
+++ b/tests/test_units.cpp
@@ -290,6 +290,56 @@
   EXPECT_EQ (count (second, FT_COMMAND_START), 1u);
 }
 
+// One row names many machines; it is written anew when one of them goes.
+TEST (Roster, ARowFollowsItsMachines)
+{
+  Bench b;
+  ft_scheduler_load_machine (b.s, "row-1", "n-1", "10.1.0.1:9000", "std", "a", FALSE);
+  ft_scheduler_load_machine (b.s, "row-1", "n-2", "10.1.0.2:9000", "std", "a", FALSE);
+  ft_scheduler_loaded (b.s, 100 * kS);
+  auto rows = [&] (gint64 now) {
+    std::string text;
+    g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (b.s, 11, now);
+    for (guint i = 0; i < writes->len; i++) {
+      auto w = (FtWrite *) g_ptr_array_index (writes, i);
+      text += std::string (w->kind == FT_WRITE_ROSTER ? "put " : "drop ") + w->name;
+      for (guint k = 0; k < w->machines->len; k++)
+        text += std::string (" ") + g_array_index (w->machines, FtListedMachine, k).name;
+    }
+    ft_scheduler_written (b.s, writes, now);
+    return text;
+  };
+  EXPECT_EQ (rows (100 * kS), "");
+  auto gone = [&] (const char *name) {
+    ft_machine_gone (b.s, (FtMachine *) g_hash_table_lookup (b.s->machines, name), "returned");
+  };
+  gone ("n-2");
+  EXPECT_EQ (rows (102 * kS), "put row-1 n-1");
+  EXPECT_EQ (rows (103 * kS), "");
+  gone ("n-1");
+  EXPECT_EQ (rows (105 * kS), "drop row-1");
+  EXPECT_EQ (rows (107 * kS), "");
+}
+
+// Found on the grown deployments: the value limit was not read, and each machine
+// had a row of its own, too many to be kept up with.
+TEST (Roster, OneRowTakesAsManyMachinesAsAValueHolds)
+{
+  Bench b;
+  b.world.settings.value_kb = 8;
+  ft_scheduler_loaded (b.s, 100 * kS);
+  for (int i = 0; i < 50; i++) {
+    g_autoptr (FtReport) r = b.report (1, 1, 3);
+    g_free (r->machine);
+    r->machine = g_strdup_printf ("n-%06d", i);
+    ft_scheduler_report (b.s, r, 100 * kS);
+  }
+  g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (b.s, 11, 100 * kS);
+  ASSERT_EQ (writes->len, 1u);
+  EXPECT_EQ (((FtWrite *) g_ptr_array_index (writes, 0))->machines->len, 50u);
+  ft_scheduler_written (b.s, writes, 100 * kS);
+}
+
 TEST (Scheduler, ALapsedLeaderSendsStopsOnly)
 {
   Bench b;
@@ -597,6 +647,7 @@
   ASSERT_NE (c, nullptr) << error->message;
   EXPECT_EQ (c->core.n_teams, 1u);
   EXPECT_EQ (c->core.txn_ops, 16u);
+  EXPECT_EQ (c->core.value_kb, 8.0);
 }
 
 TEST (Settings, AnErrorNamesItsField)
