Deaf machines, late copies, a bounded wait to begin

A machine that shows nothing of three answers in a row counts as deaf: no work, probes, and after 10 s it is returned, also before a takeover has accounted for it. Tokens only rise, so a report with a lower one than the machine has shown is a late copy and proves nothing; a machine gets work only after it has shown our token; being cut off from the workers is judged by reports under our token. An attempt without a result that a direct command started stays known to its worker for two leases, since a copy of the start may come late. A job that has not begun after 120 s goes ahead of all.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -80,6 +80,14 @@
  * first; probes under way at once: a cut zone's must not keep out the others. */
 #define FT_PROBE_DOUBLINGS 3
 #define FT_PROBES_MOST 48
+/* Reports in a row that show nothing of our answers, after which a machine counts as
+ * deaf: a lost packet may explain one. */
+#define FT_UNHEARD_MOST 3
+/* Seconds a deaf machine is probed before it is returned. */
+#define FT_DEAF_RETURN_S 10.0
+/* Worker leases for which a copy of a direct start may come late, and an attempt without
+ * a result stays known to its worker. */
+#define FT_COPY_LEASES 2.0
 /* Seconds between two ticks from which this controller was late itself, and what it
  * has not heard meanwhile counts against no machine. */
 #define FT_LATE_TICK_S 1.5
@@ -141,6 +149,9 @@
 #define FT_PREEMPT_JOBS 8
 /* Kinds of tasks that found no room, remembered within a pass. */
 #define FT_FULL_SHAPES 16
+/* Seconds a job may wait to begin before it goes ahead of all: half of the four
+ * minutes that the users give even the largest. */
+#define FT_BEGIN_WITHIN_S 120.0
 /* Most tasks placed in one pass, so that a pass stays short. */
 #define FT_PASS_TASKS 256
 
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -312,26 +312,39 @@
 
 /* A controller that is itself cut off must not return a healthy fleet: silence
  * counts against a machine only while most others are heard, and only a few
- * machines are given up within a window. */
+ * machines are given up within a window. Deaf ones count like silent ones. */
 static gboolean
-may_give_up (FtScheduler *s, const FtMachine *machine)
+may_give_up (FtScheduler *s, const FtMachine *machine, guint up, guint lost)
 {
-  guint up = 0, silent = 0;
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init (&it, s->machines);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
-    FtMachineState state = ((FtMachine *) value)->state;
-    up += state == FT_MACHINE_UP;
-    silent += state == FT_MACHINE_SILENT;
-  }
   if (s->now - s->silent_window_at > (gint64) (FT_SILENT_RETURN_WINDOW_S * FT_SECOND)) {
     s->silent_window_at = s->now;
     s->silent_returned = 0;
   }
-  guint most = MAX (FT_SILENT_RETURN_MIN, (guint) (FT_SILENT_RETURN_SHARE * (up + silent)));
+  guint most = MAX (FT_SILENT_RETURN_MIN, (guint) (FT_SILENT_RETURN_SHARE * (up + lost)));
   gint64 long_silent = (gint64) (2 * s->settings->lease_s * FT_SECOND);
-  return (silent <= up || s->now - machine->last_report > long_silent) && s->silent_returned < most;
+  return (lost <= up || s->now - machine->last_report > long_silent) && s->silent_returned < most;
+}
+
+static gboolean
+deaf_long (const FtScheduler *s, const FtMachine *m)
+{
+  return m->state == FT_MACHINE_UP && ft_machine_deaf (m)
+         && s->now - m->deaf_since > (gint64) (FT_DEAF_RETURN_S * FT_SECOND);
+}
+
+static void
+count_heard (FtScheduler *s, guint *up, guint *lost)
+{
+  GHashTableIter it;
+  gpointer value;
+  *up = *lost = 0;
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    const FtMachine *m = value;
+    gboolean heard = m->state == FT_MACHINE_UP && !ft_machine_deaf (m);
+    *up += heard;
+    *lost += !heard && (m->state == FT_MACHINE_UP || m->state == FT_MACHINE_SILENT);
+  }
 }
 
 /* What a user has withdrawn must be gone in time, on a silent machine too. */
@@ -383,8 +396,10 @@
 static void
 give_up_machines (FtScheduler *s)
 {
+  guint up, lost;
   GHashTableIter it;
   gpointer value;
+  count_heard (s, &up, &lost);
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     FtMachine *m = value;
@@ -393,9 +408,10 @@
     gint64 taken = m->notice_until + (gint64) (FT_NOTICE_MARGIN_S * FT_SECOND);
     if (m->notice_until > 0 && s->now > taken && m->last_report < m->notice_until) {
       return_machine (s, m, "taken by the cloud");
-    } else if (m->state == FT_MACHINE_SILENT && (holds_withdrawn (m) || may_give_up (s, m))) {
+    } else if ((m->state == FT_MACHINE_SILENT || deaf_long (s, m))
+               && (holds_withdrawn (m) || may_give_up (s, m, up, lost))) {
       s->silent_returned++;
-      return_machine (s, m, "silent");
+      return_machine (s, m, m->state == FT_MACHINE_SILENT ? "silent" : "does not hear us");
     } else if (boot_failed (s, m)) {
       return_machine (s, m, "did not come up");
     } else if (in_doubt (s, m)) {
--- a/src/core/machine.c
+++ b/src/core/machine.c
@@ -125,13 +125,20 @@
 gboolean
 ft_machine_usable (const FtScheduler *s, const FtMachine *machine)
 {
-  return machine->state == FT_MACHINE_UP && machine->in_roster && machine->accounted && machine->type != NULL
-         && !machine->drained && !machine->faulty && machine->notice_until == 0
-         && machine->session > machine->lapsed_session
+  return machine->state == FT_MACHINE_UP && machine->in_roster && machine->accounted && machine->knows_us
+         && !ft_machine_deaf (machine) && machine->type != NULL && !machine->drained && !machine->faulty
+         && machine->notice_until == 0 && machine->session > machine->lapsed_session
          && s->now - machine->last_report
                 < (gint64) ((s->settings->report_s * FT_REPORT_GAP + FT_USABLE_MARGIN_S) * FT_SECOND);
 }
 
+/* Its reports come, but neither answers nor commands seem to reach it. */
+gboolean
+ft_machine_deaf (const FtMachine *machine)
+{
+  return machine->deaf_since > 0;
+}
+
 gboolean
 ft_machine_allowed (const FtMachine *machine, const FtJobSpec *spec)
 {
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -55,6 +55,8 @@
   gboolean final_in_flight, conflicted;
   gint64 accepted_at, deadline_at; /* deadline 0: none */
   gboolean guaranteed, too_late;
+  gboolean begun;    /* a task of it has been placed, or was found done or on a machine */
+  gboolean overlong; /* it has waited to begin for as long as any may */
   guint errors;
   gint64 not_before;
   gint64 pass_blocked; /* pass in which no machine had room */
@@ -82,6 +84,10 @@
   FtMachineState state; /* changed by ft_machine_set_state() only */
   guint64 session, sequence;
   guint64 lapsed_session; /* sessions up to here are over */
+  gboolean knows_us;      /* it has shown our token: a report with a lower one is a late copy */
+  guint64 answered;       /* highest sequence of this session that we have answered */
+  guint unheard;          /* newer reports in a row that show nothing of our answers */
+  gint64 deaf_since;      /* 0: it hears us, for all we know */
   gint64 rented_at, last_report, last_answer, idle_since;
   gint64 notice_until; /* 0: none */
   gint64 probe_at;
@@ -117,7 +123,10 @@
   gboolean shown, listed, exited, running, has_image;
   gboolean stop_wanted, stop_sent, forget_ok;
   double grace_s;
-  guint64 sent_sequence;      /* report whose answer carried the start; 0: none */
+  guint64 sent_sequence; /* report whose answer carried the start; 0: none */
+  gboolean by_direct;    /* a direct start was sent; a copy of it may come late */
+  gint64 exited_at;
+  gboolean done;              /* exited with a result, which its worker keeps */
   gboolean direct_in_flight;  /* a direct start is on its way */
   gboolean direct_unanswered; /* a direct start may still be executed, late */
   gint64 placed_at, running_at, placed_pass;
@@ -160,6 +169,7 @@
   GQueue directs;      /* FtMachine that may want a direct request */
   GQueue probes;       /* FtMachine to be asked whether they are there */
   guint probes_in_flight;
+  gint64 last_heard;               /* report under our token: proof that workers hear us */
   gint64 last_tick, hearing_since; /* silence before the latter proves nothing: we were late ourselves */
   GQueue returning;                /* FtMachine to be returned */
   GHashTable *rows;                /* id -> FtRosterRow, owned */
@@ -204,6 +214,7 @@
 /* The job may have something to write. */
 void ft_job_touch (FtJob *job);
 guint ft_machine_room (const FtMachine *machine, const FtJobSpec *spec);
+gboolean ft_machine_deaf (const FtMachine *machine);
 gboolean ft_machine_idle (const FtMachine *machine);
 gboolean ft_machine_allowed (const FtMachine *machine, const FtJobSpec *spec);
 FtAttempt *ft_machine_attempt (const FtMachine *machine, const char *ref, guint index, guint64 id);
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -8,6 +8,8 @@
 by_urgency (gconstpointer a, gconstpointer b)
 {
   const FtJob *x = *(FtJob *const *) a, *y = *(FtJob *const *) b;
+  if (x->overlong != y->overlong)
+    return x->overlong ? -1 : 1;
   if (x->guaranteed != y->guaranteed)
     return x->guaranteed ? -1 : 1;
   if (x->spec->priority != y->spec->priority)
@@ -50,6 +52,9 @@
     if (job->state != FT_JOB_OPEN || job->team == NULL)
       continue;
     job->too_late = too_late (s, job);
+    /* Whatever the order is, nothing waits for ever to begin: not what is too late
+     * for its deadline, not the largest jobs of a class. */
+    job->overlong = !job->begun && s->now - job->accepted_at > (gint64) (FT_BEGIN_WITHIN_S * FT_SECOND);
     g_ptr_array_add (s->order, job);
   }
   s->looked_at += s->order->len;
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -279,6 +279,8 @@
   FtMachine *machine = a->machine;
   a->exited = TRUE;
   a->listed = TRUE;
+  a->exited_at = s->now;
+  a->done = why == FT_WHY_DONE;
   ft_attempt_release (a);
   s->dirty = TRUE;
   if (a->bound && why == FT_WHY_DONE) {
@@ -340,12 +342,16 @@
       = open && task->attempt == NULL && (task->state == FT_TASK_UNKNOWN || task->state == FT_TASK_QUEUED);
   if (t->state == FT_REPORTED_EXITED) {
     a->exited = TRUE;
+    a->exited_at = s->now;
+    a->done = t->why == FT_WHY_DONE;
+    a->by_direct = TRUE; /* for all we know */
     a->forget_ok = !(free_task && t->why == FT_WHY_DONE);
     if (free_task && t->why == FT_WHY_DONE)
       ft_attempt_bind (a, FT_TASK_FINISHED);
     s->dirty = TRUE;
     return;
   }
+  a->by_direct = TRUE; /* for all we know */
   ft_attempt_hold (a);
   if (free_task) {
     ft_attempt_bind (a, FT_TASK_FETCHING);
@@ -471,40 +477,104 @@
   return machine;
 }
 
-/* Takes in a report's content if it is the newest of its machine. */
+/* An answer is heard if the next report shows what it brought: our token, the
+ * tasks it started. A lost packet looks the same once, hence the count. */
 static void
-apply_report (FtScheduler *s, FtMachine *machine, const FtReport *report, gboolean is_report)
+judge_hearing (FtScheduler *s, FtMachine *machine, const FtReport *report)
 {
-  if (report->session <= machine->lapsed_session || report->session < machine->session
-      || (report->session == machine->session && report->sequence <= machine->sequence))
-    return;
-  if (report->session > machine->session) {
-    if (machine->session != 0) {
-      g_message ("machine %s: session %" G_GUINT64_FORMAT, machine->name, report->session);
-      ft_machine_end_session (s, machine);
-    }
-    machine->session = report->session;
+  gboolean missing = machine->answered > 0 && report->token < s->token;
+  gboolean expected = FALSE;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, machine->attempts);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    const FtAttempt *a = value;
+    gboolean sent = a->sent_sequence > 0 && a->sent_sequence < report->sequence;
+    expected |= sent;
+    missing |= sent && !a->shown && !a->exited;
   }
-  machine->sequence = report->sequence;
+  if (missing)
+    machine->unheard++;
+  else if (expected || machine->deaf_since == 0)
+    machine->unheard = 0;
+  if (machine->unheard >= FT_UNHEARD_MOST && machine->deaf_since == 0) {
+    machine->deaf_since = s->now;
+    g_message ("machine %s: does not hear us", machine->name);
+  } else if (machine->unheard == 0) {
+    machine->deaf_since = 0;
+  }
+}
+
+static void
+begin_session (FtScheduler *s, FtMachine *machine, guint64 session)
+{
+  if (machine->session != 0) {
+    g_message ("machine %s: session %" G_GUINT64_FORMAT, machine->name, session);
+    ft_machine_end_session (s, machine);
+  }
+  machine->session = session;
+  machine->answered = 0;
+}
+
+/* Older than what is known of the machine, or a copy from before it knew us:
+ * tokens only rise. Copies may come late by more than a lease. */
+static gboolean
+outdated (const FtScheduler *s, const FtMachine *machine, const FtReport *report)
+{
+  return report->session <= machine->lapsed_session || report->session < machine->session
+         || (report->session == machine->session && report->sequence <= machine->sequence)
+         || (machine->knows_us && report->token < s->token);
+}
+
+static void
+now_up (FtScheduler *s, FtMachine *machine)
+{
   machine->last_report = s->now;
   machine->probe_fails = 0;
-  if (machine->state == FT_MACHINE_BOOTING || machine->state == FT_MACHINE_SILENT) {
-    if (machine->state == FT_MACHINE_BOOTING)
-      machine->idle_since = s->now;
-    ft_machine_set_state (machine, FT_MACHINE_UP);
+  if (machine->state != FT_MACHINE_BOOTING && machine->state != FT_MACHINE_SILENT)
+    return;
+  if (machine->state == FT_MACHINE_BOOTING)
+    machine->idle_since = s->now;
+  ft_machine_set_state (machine, FT_MACHINE_UP);
+  s->dirty = TRUE;
+}
+
+/* Only what was sent after the worker saw our token counts: before that a
+ * command of the former leader may still have been executed. */
+static void
+heard_under_our_token (FtScheduler *s, FtMachine *machine, const FtReport *report, gboolean is_report)
+{
+  if (!machine->knows_us)
     s->dirty = TRUE;
-  }
-  ft_roster_add (s, machine);
-  /* Only a report sent after the worker saw our token counts: before that a
-   * command of the former leader may still have been executed. */
-  if (report->token >= s->token && !machine->accounted) {
+  machine->knows_us = TRUE;
+  s->last_heard = s->now;
+  if (!machine->accounted) {
     ft_machine_account (machine);
     g_message ("machine %s: accounted for", machine->name);
   }
+  apply_tasks (s, machine, report, is_report);
+}
+
+/* Takes in a report's content if it is the newest of its machine. */
+static void
+apply_report (FtScheduler *s, FtMachine *machine, const FtReport *report, gboolean is_report)
+{
+  if (outdated (s, machine, report))
+    return;
+  if (report->session > machine->session)
+    begin_session (s, machine, report->session);
+  machine->sequence = report->sequence;
+  now_up (s, machine);
+  ft_roster_add (s, machine);
   if (report->token >= s->token)
-    apply_tasks (s, machine, report, is_report);
-  if (is_report)
+    heard_under_our_token (s, machine, report, is_report);
+  if (is_report) {
+    judge_hearing (s, machine, report);
     apply_notice (s, machine, report->notice_s);
+  } else {
+    machine->unheard = 0; /* a command has reached it */
+    machine->deaf_since = 0;
+  }
 }
 
 gboolean
@@ -534,6 +604,17 @@
          && machine->state != FT_MACHINE_RETURNING && a->job->state == FT_JOB_OPEN;
 }
 
+/* A copy of a direct start may come late. While the worker knows the attempt it
+ * does nothing; forgotten, it would start the task anew, perhaps beside another
+ * attempt. What is done is done: its result is kept. */
+static gboolean
+may_forget (const FtScheduler *s, const FtAttempt *a)
+{
+  if (!a->exited || !a->forget_ok || a->direct_unanswered || a->direct_in_flight)
+    return FALSE;
+  return !a->by_direct || a->done || s->now - a->exited_at > seconds (FT_COPY_LEASES * s->settings->lease_s);
+}
+
 void
 ft_scheduler_allow (FtScheduler *s, gboolean may_start)
 {
@@ -550,8 +631,12 @@
     return commands;
   machine->last_answer = now;
   if (report->session != machine->session || report->sequence != machine->sequence || report->token < s->token
-      || machine->session <= machine->lapsed_session)
+      || machine->session <= machine->lapsed_session) {
+    if (report->session == machine->session)
+      machine->answered = MAX (machine->answered, report->sequence);
     return commands;
+  }
+  machine->answered = report->sequence;
   /* What the report has freed is filled by this very answer. */
   ft_placement_fill (s, machine);
   GHashTableIter it;
@@ -561,7 +646,7 @@
     FtAttempt *a = value;
     if (a->stop_wanted && a->shown && !a->exited)
       add_command (commands, FT_COMMAND_STOP, a);
-    else if (a->exited && a->forget_ok && !a->direct_unanswered && !a->direct_in_flight && s->may_start)
+    else if (s->may_start && may_forget (s, a))
       add_command (commands, FT_COMMAND_FORGET, a);
   }
   g_hash_table_iter_init (&it, machine->attempts);
@@ -620,7 +705,8 @@
 static gboolean
 wants_probe (const FtScheduler *s, const FtMachine *machine)
 {
-  gboolean ask = !machine->accounted || (machine->state == FT_MACHINE_UP && report_overdue (s, machine));
+  gboolean ask = !machine->accounted || ft_machine_deaf (machine)
+                 || (machine->state == FT_MACHINE_UP && report_overdue (s, machine));
   return ask && s->now >= machine->probe_at && machine->addr != NULL && !machine->command_in_flight
          && machine->state != FT_MACHINE_GONE;
 }
@@ -652,7 +738,7 @@
       add_command (commands, FT_COMMAND_STOP, a);
     } else if (ft_machine_usable (s, machine) && wants_start (s, machine, a) && a->sent_sequence == 0
                && !a->direct_unanswered) {
-      a->direct_in_flight = TRUE;
+      a->direct_in_flight = a->by_direct = TRUE;
       add_command (commands, FT_COMMAND_START, a);
     }
   }
@@ -716,7 +802,8 @@
     return TRUE;
   machine->command_in_flight = FALSE;
   ft_machine_queue_direct (machine); /* what has come up meanwhile */
-  if (result == FT_DIRECT_UNANSWERED && (report_overdue (s, machine) || !machine->accounted))
+  if (result == FT_DIRECT_UNANSWERED
+      && (report_overdue (s, machine) || !machine->accounted || ft_machine_deaf (machine)))
     machine->probe_fails++;
   settle_direct (s, machine, direct, result);
   if (report == NULL || g_strcmp0 (report->machine, machine->name) != 0)
@@ -853,6 +940,12 @@
     ft_placement_pass (s);
 }
 
+gint64
+ft_scheduler_last_heard (const FtScheduler *s)
+{
+  return s->last_heard;
+}
+
 guint
 ft_scheduler_looked_at (const FtScheduler *s)
 {
--- a/src/core/task.c
+++ b/src/core/task.c
@@ -54,6 +54,8 @@
   job->counts[from]--;
   job->counts[to]++;
   task->state = to;
+  if (to != FT_TASK_QUEUED && to != FT_TASK_DROPPED)
+    job->begun = TRUE;
   if (to >= FT_TASK_FINISHED)
     ft_job_touch (job);
   if (to == FT_TASK_QUEUED)
--- a/src/net/leader.c
+++ b/src/net/leader.c
@@ -510,7 +510,7 @@
   ft_metrics_count (node->metrics, FT_COUNT_TAKEOVERS);
   node->journal_stamp = stamp;
   node->journal_batch = 0;
-  node->led_since = node->last_report = node->last_watch = now;
+  node->led_since = node->last_watch = now;
   node->next_list = node->next_scheduler_tick = now;
   ft_state_set_share (node->state, FT_LEADER_SHARE);
   load_next (node, FT_PREFIX_OPEN, NULL);
--- a/src/net/node.c
+++ b/src/net/node.c
@@ -143,8 +143,8 @@
   gint64 gap = (gint64) ((s->report_s * FT_REPORT_GAP + FT_CUT_OFF_MARGIN_S) * FT_SECOND);
   if (now - node->led_since < (gint64) (FT_CUT_OFF_GRACE_S * FT_SECOND))
     return FALSE;
-  return node->config->peers->len > 0 && now - node->last_report > gap
-         && ft_scheduler_up (node->scheduler) >= FT_CUT_OFF_MACHINES;
+  gint64 heard = MAX (node->led_since, ft_scheduler_last_heard (node->scheduler));
+  return node->config->peers->len > 0 && now - heard > gap && ft_scheduler_up (node->scheduler) >= FT_CUT_OFF_MACHINES;
 }
 
 static void
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -42,7 +42,7 @@
   guint64 watch_since;
   gint64 last_watch;
   gint64 next_scheduler_tick, next_list, next_catalog, next_mesh, next_batch, next_watch;
-  gint64 led_since, last_report;
+  gint64 led_since;
   FtBudget cloud_budget;
 
   GArray *peers;     /* FtPeerView */
--- a/src/net/worker_endpoint.c
+++ b/src/net/worker_endpoint.c
@@ -32,7 +32,6 @@
     redirect (node, request);
     return;
   }
-  node->last_report = now;
   ft_metrics_count (node->metrics, FT_COUNT_REPORTS);
   if (!ft_scheduler_report (node->scheduler, report, now)) {
     ft_node_step_down (node, "a worker has seen a higher token");
