Stand-in world: deaf machines, late copies, controllers back at once; checks of what is served

The checker fails a job without an answer for 75 s once all is calm, a class, team or a class's largest jobs less than half served, and a largest job that has not begun in four minutes; each check has a test that makes it fail. One run has hundreds of machines and jobs of 250 tasks.

--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -280,7 +280,6 @@
   a->exited = TRUE;
   a->listed = TRUE;
   a->exited_at = s->now;
-  a->done = why == FT_WHY_DONE;
   ft_attempt_release (a);
   s->dirty = TRUE;
   if (a->bound && why == FT_WHY_DONE) {
@@ -343,7 +342,6 @@
   if (t->state == FT_REPORTED_EXITED) {
     a->exited = TRUE;
     a->exited_at = s->now;
-    a->done = t->why == FT_WHY_DONE;
     a->by_direct = TRUE; /* for all we know */
     a->forget_ok = !(free_task && t->why == FT_WHY_DONE);
     if (free_task && t->why == FT_WHY_DONE)
@@ -605,14 +603,14 @@
 }
 
 /* A copy of a direct start may come late. While the worker knows the attempt it
- * does nothing; forgotten, it would start the task anew, perhaps beside another
- * attempt. What is done is done: its result is kept. */
+ * does nothing; forgotten, it would start the task anew: beside another attempt,
+ * or, if it is done, beyond the team's limit for a moment. */
 static gboolean
 may_forget (const FtScheduler *s, const FtAttempt *a)
 {
   if (!a->exited || !a->forget_ok || a->direct_unanswered || a->direct_in_flight)
     return FALSE;
-  return !a->by_direct || a->done || s->now - a->exited_at > seconds (FT_COPY_LEASES * s->settings->lease_s);
+  return !a->by_direct || s->now - a->exited_at > seconds (FT_COPY_LEASES * s->settings->lease_s);
 }
 
 void
--- a/tests/sim/checker.cpp
+++ b/tests/sim/checker.cpp
@@ -8,15 +8,14 @@
 Checker::check_zone (const std::string &ref, const Job &job, const Spot &where)
 {
   guint here = 0;
-  for (const auto &[task, spots] : where_) {
-    if (task.first != ref)
-      continue;
-    for (const Spot &other : spots) {
+  if (!job.one_zone && !job.spread)
+    return;
+  for (auto it = where_.lower_bound ({ ref, 0 }); it != where_.end () && it->first.first == ref; ++it)
+    for (const Spot &other : it->second) {
       if (job.one_zone && other.zone != where.zone)
         fail ("wrong_place", ref + " in two zones");
       here += other.zone == where.zone;
     }
-  }
   if (job.spread && here + 1 > (job.tasks + 1) / 2)
     fail ("wrong_place", ref + " has more than half of its tasks in " + where.zone);
 }
@@ -24,7 +23,9 @@
 void
 Checker::on (Time now, const std::string &ref, guint index, Spot where)
 {
-  const Job &job = jobs_[ref];
+  Job &job = jobs_[ref];
+  if (!job.begun)
+    job.begun = now;
   const std::string name = ref + "/" + std::to_string (index);
   starts_++;
   auto &spots = where_[{ ref, index }];
@@ -77,6 +78,24 @@
     job.final_told = state;
   if (state == "cancelled" && !job.cancel_told)
     job.cancel_told = now;
+  if (state == "cancelled")
+    cancelled_.insert (ref);
+}
+
+// Once all troubles are over, a job is not left without an answer for 75 s.
+void
+Checker::asked (Time now, const std::string &ref, bool answered)
+{
+  auto it = jobs_.find (ref);
+  if (it == jobs_.end () || !it->second.accepted)
+    return;
+  Job &job = it->second;
+  if (answered || !job.answered) {
+    job.answered = now;
+    return;
+  }
+  if (calm_ && now - std::max (*calm_, *job.answered) > 75 * kSecond)
+    fail ("forgotten", ref + " gets no answer");
 }
 
 void
@@ -89,18 +108,53 @@
 void
 Checker::step (Time now)
 {
-  for (const auto &[task, spots] : where_) {
-    const Job &job = jobs_[task.first];
-    if (!spots.empty () && job.cancel_told && now > *job.cancel_told + cancel_)
-      fail ("ran_cancelled", task.first + " is still on " + spots[0].machine);
+  for (const std::string &ref : cancelled_) {
+    if (now <= *jobs_[ref].cancel_told + cancel_)
+      continue;
+    for (auto it = where_.lower_bound ({ ref, 0 }); it != where_.end () && it->first.first == ref; ++it)
+      if (!it->second.empty ())
+        fail ("ran_cancelled", ref + " is still on " + it->second[0].machine);
   }
 }
 
+void
+Checker::served (const std::string &what, const std::vector<const Job *> &jobs)
+{
+  auto done = std::count_if (jobs.begin (), jobs.end (), [] (const Job *j) { return j->done.size () == j->tasks; });
+  if (2 * (size_t) done < jobs.size ())
+    fail ("served", what + ": " + std::to_string (done) + " of " + std::to_string (jobs.size ()));
+}
+
+// The largest tenth of a class: half of them served, each begun in four minutes.
+void
+Checker::largest (const std::string &job_class, std::vector<const Job *> jobs)
+{
+  std::sort (jobs.begin (), jobs.end (), [] (const Job *a, const Job *b) { return a->tasks > b->tasks; });
+  jobs.resize ((jobs.size () + 9) / 10);
+  served ("the largest of class " + job_class, jobs);
+  for (const Job *job : jobs)
+    if (!job->begun || *job->begun - job->submitted > 240 * kSecond)
+      fail ("served", "one of the largest of class " + job_class + " did not begin in four minutes");
+}
+
 void
 Checker::end ()
 {
+  std::map<std::string, std::vector<const Job *> > classes, teams;
   if (starts_ == 0)
     fail ("nothing_ran", "no task was started");
+  for (const auto &[ref, job] : jobs_) {
+    if (!job.accepted || job.cancel_asked)
+      continue;
+    classes[job.job_class].push_back (&job);
+    teams[job.team].push_back (&job);
+  }
+  for (const auto &[name, jobs] : teams)
+    served ("team " + name, jobs);
+  for (const auto &[name, jobs] : classes) {
+    served ("class " + name, jobs);
+    largest (name, jobs);
+  }
 }
 
 } // namespace sim
--- a/tests/sim/node.cpp
+++ b/tests/sim/node.cpp
@@ -366,6 +366,13 @@
       if (it == world_.machines.end () || !it->second->up)
         return;
       auto [status, report] = it->second->commands (token, direct->session, direct->commands);
+      if (status == 200 && world_.chance (world_.copies)) {
+        auto worker = it->second;
+        world_.after ((Time) (world_.uniform (1, 1.5 * world_.settings.lease_s) * kSecond), [worker, direct, token] {
+          if (worker->alive)
+            ft_report_free (worker->commands (token, direct->session, direct->commands).second);
+        });
+      }
       std::shared_ptr<FtReport> shared (report, ft_report_free);
       guint code = status;
       world_.deliver (direct->machine, name (), [finish, code, shared] { finish (code, shared); });
@@ -404,7 +411,8 @@
       }
     } else {
       auto &names = world_.bookings[call->booking];
-      for (guint i = 0; names.size () < call->count && i < call->count && world_.alive_machines () < 14; i++) {
+      for (guint i = 0;
+           names.size () < call->count && i < call->count && world_.alive_machines () < world_.most_machines; i++) {
         char text[16];
         g_snprintf (text, sizeof text, "n-%06u", world_.machine_count++);
         auto worker = std::make_shared<Worker> (world_, text, call->zone, call->spot);
@@ -495,6 +503,8 @@
                bool spread, bool spot)
 {
   Checker::Job job;
+  job.submitted = now;
+  job.job_class = spot ? "sim" : "ordinary";
   job.team = team;
   job.cpus = cpus;
   job.tasks = tasks;
@@ -548,7 +558,12 @@
 void
 World::poll (const std::string &ref)
 {
-  if (store.down)
+  // Some node is asked; one that cannot read the store says so.
+  const std::string node = "node-" + std::to_string (below (3));
+  auto cut = cuts.find ({ node, "store" });
+  bool served = !store.down && nodes[node.back () - '0']->alive && (cut == cuts.end () || cut->second <= now);
+  checker->asked (now, ref, served);
+  if (!served)
     return;
   g_autofree char *key = ft_key_job (ref.c_str ());
   auto [status, body] = store.get (key);
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -131,6 +131,18 @@
   alive = up = false;
 }
 
+void
+Worker::reboot ()
+{
+  for (TaskOn &t : tasks_)
+    if (t.state == FT_REPORTED_RUNNING)
+      world_.checker->off (t.job, t.index, name);
+  tasks_.clear ();
+  session_++;
+  last_sent_ok_ = world_.now;
+  changed ();
+}
+
 void
 Worker::hang (Time until)
 {
@@ -308,6 +320,8 @@
       answered (sent, r->session, a.status != 0, a.status, a.token, a.orders, a.answers_to);
     });
   });
+  if (world_.chance (world_.copies))
+    copy_later (r);
   world_.after (4 * kSecond, [this, self, sent, done, r] {
     if (*done || !alive)
       return;
@@ -316,6 +330,19 @@
   });
 }
 
+// A copy of the report reaches some controller, by seconds to well over a lease
+// late; nobody waits for its answer.
+void
+Worker::copy_later (std::shared_ptr<FtReport> report)
+{
+  int node = world_.below (3);
+  World &world = world_;
+  world.after ((Time) (world.uniform (1, 2.5 * world.settings.lease_s) * kSecond), [&world, node, report] {
+    if (world.nodes[node]->alive)
+      world.nodes[node]->report (report.get ());
+  });
+}
+
 void
 Worker::loop ()
 {
@@ -331,20 +358,21 @@
   bool due = world_.now >= next_report_ || (change_ && world_.now >= last_report_ + kSecond / 2);
   if (!in_flight_ && due)
     send_report ();
-  world_.after (kSecond / 10, [self] { self->loop (); });
+  world_.after (world_.worker_step, [self] { self->loop (); });
 }
 
 // ---- world ----
 
 static const char *const zones[] = { "a", "b" };
 
-World::World (guint32 seed)
+World::World (guint32 seed, guint scale)
 {
+  most_machines *= scale;
   random = g_rand_new_with_seed (seed);
   settings.n_teams = 2;
   settings.teams = g_new0 (FtTeamLimit, 2);
-  settings.teams[0] = { g_strdup ("red"), 24, 48, 0, 0 };
-  settings.teams[1] = { g_strdup ("blue"), 16, 32, 0, 0 };
+  settings.teams[0] = { g_strdup ("red"), 24.0 * scale, 48.0 * scale, 0, 0 };
+  settings.teams[1] = { g_strdup ("blue"), 16.0 * scale, 32.0 * scale, 0, 0 };
   settings.report_s = 2.5;
   settings.lease_s = 14;
   settings.cancel_s = 34;
@@ -365,8 +393,9 @@
   type->boot_s = 8;
   type->zones = g_strsplit ("a b", " ", 0);
   g_ptr_array_add (catalog->types, type);
-  checker = std::make_unique<Checker> (std::map<std::string, double>{ { "red", 48 }, { "blue", 32 } },
-                                       (Time) (settings.cancel_s * kSecond));
+  checker
+      = std::make_unique<Checker> (std::map<std::string, double>{ { "red", 48.0 * scale }, { "blue", 32.0 * scale } },
+                                   (Time) (settings.cancel_s * kSecond));
   for (int i = 0; i < 3; i++)
     nodes.push_back (std::make_unique<Node> (*this, i));
 }
@@ -430,7 +459,7 @@
     auto machine = machines.find (to);
     if (machine == machines.end ()) {
       what ();
-    } else if (machine->second->alive) {
+    } else if (machine->second->alive && now >= machine->second->deaf_until) {
       // A hanging machine takes its messages in when it resumes.
       if (now < machine->second->hung_until)
         at (machine->second->hung_until, what);
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -30,7 +30,7 @@
 class Checker {
 public:
   struct Job {
-    std::string team;
+    std::string team, job_class;
     double cpus = 0;
     guint tasks = 0;
     bool spot = true, one_zone = false, spread = false;
@@ -39,6 +39,8 @@
     bool accepted = false, cancel_asked = false;
     std::optional<Time> cancel_told;
     std::string final_told;
+    Time submitted = 0;
+    std::optional<Time> begun, answered; // first start; last answer to a question
   };
   struct Spot {
     std::string machine, zone;
@@ -64,6 +66,14 @@
   {
     jobs_[ref].cancel_asked = true;
   }
+  // A user has asked about the job, and was answered or not.
+  void asked (Time now, const std::string &ref, bool answered);
+  // From here on nothing is in trouble.
+  void
+  calm (Time now)
+  {
+    calm_ = now;
+  }
   // A user was told this state; "" stands for 404.
   void told (Time now, const std::string &ref, const std::string &state);
   // A repeated submission was refused for good.
@@ -93,10 +103,14 @@
   {
     broken_.push_back (rule + ": " + what);
   }
+  void served (const std::string &what, const std::vector<const Job *> &jobs);
+  void largest (const std::string &job_class, std::vector<const Job *> jobs);
   void check_zone (const std::string &ref, const Job &job, const Spot &where);
   std::map<std::string, double> limits_, used_;
   Time cancel_;
+  std::optional<Time> calm_;
   std::map<std::string, Job> jobs_;
+  std::set<std::string> cancelled_; // told so
   std::map<std::pair<std::string, guint>, std::vector<Spot> > where_;
   std::vector<std::string> broken_;
   guint starts_ = 0;
@@ -146,17 +160,26 @@
   Worker (World &world, std::string name, std::string zone, bool spot);
   void boot ();
   void die ();
+  // Off and on again at once: its tasks are lost, its session is a new one.
+  void reboot ();
   void hang (Time until);
+  // Its reports go out, but nothing reaches it.
+  void
+  deafen (Time until)
+  {
+    deaf_until = until;
+  }
   FtReport *report ();
   // /commands: status and report
   std::pair<guint, FtReport *> commands (guint64 token, guint64 session, const GArray *orders);
   bool alive = true, up = false;
   std::string name, zone;
   bool spot;
-  Time hung_until = 0;
+  Time hung_until = 0, deaf_until = 0;
 
 private:
   friend class World;
+  void copy_later (std::shared_ptr<FtReport> report);
   void loop ();
   void send_report ();
   void answered (Time sent, guint64 session, bool ok, guint status, guint64 token, std::shared_ptr<GArray> orders,
@@ -189,7 +212,8 @@
 
 class World {
 public:
-  explicit World (guint32 seed);
+  // `scale` multiplies machines and limits.
+  explicit World (guint32 seed, guint scale = 1);
   ~World ();
   void at (Time when, std::function<void ()> what);
   void
@@ -230,6 +254,9 @@
   Time now = 0;
   GRand *random;
   double loss = 0.002, late = 0.002, wrong_suspicion = 0.0005;
+  double copies = 0;        // share of reports and commands of which a copy comes late
+  guint most_machines = 14; // that the cloud has
+  Time worker_step = kSecond / 10;
   Store store;
   FtSettings settings{};
   FtCatalog *catalog;
--- a/tests/test_random_runs.cpp
+++ b/tests/test_random_runs.cpp
@@ -15,7 +15,8 @@
 struct Day {
   World world;
   std::vector<std::string> refs;
-  explicit Day (guint32 seed) : world (seed)
+  Time length = kLength;
+  explicit Day (guint32 seed, guint scale = 1) : world (seed, scale)
   {
     for (auto &node : world.nodes)
       node->start ();
@@ -41,6 +42,26 @@
     }
     world.at (30 * kSecond, [this] { world.poll ("req-999"); });
   }
+  // Hundreds of machines, jobs of up to 250 tasks.
+  void
+  load_large (int jobs)
+  {
+    world.worker_step = kSecond / 4;
+    world.settings.value_kb = 8;
+    world.settings.txn_ops = 16;
+    for (int i = 0; i < jobs; i++) {
+      std::string ref = "req-" + std::to_string (i);
+      Time when = (Time) (world.uniform (1, 60) * kSecond);
+      guint tasks = i % 10 == 0 ? 250 : (guint) world.below (60) + 20;
+      double run = world.uniform (5, 20);
+      std::string team = world.chance (0.6) ? "red" : "blue";
+      world.at (when, [this, ref, tasks, run, team] { world.submit (ref, tasks, 3, run, team, false, false, true); });
+      if (world.chance (0.1))
+        world.at (when + (Time) (world.uniform (1, 40) * kSecond), [this, ref] { world.withdraw (ref); });
+      for (Time t = when + 5 * kSecond; t < length; t += 15 * kSecond)
+        world.at (t, [this, ref] { world.poll (ref); });
+    }
+  }
   void
   crash (Time when, int node)
   {
@@ -53,6 +74,36 @@
     std::advance (it, world.below ((int) world.machines.size ()));
     return it->second;
   }
+  // Its process is back within a fraction of a second, again and again: also
+  // while the others elect.
+  void
+  blink (Time when, int node)
+  {
+    for (int i = 0; i < 3; i++) {
+      when += (Time) (world.uniform (0.05, 1.5) * kSecond);
+      world.at (when, [this, node] { world.nodes[node]->crash ((Time) (world.uniform (0.02, 0.4) * kSecond)); });
+    }
+  }
+  // A machine back at once: a new session and no tasks.
+  void
+  reboot (Time when)
+  {
+    world.at (when, [this] {
+      if (world.machines.empty ())
+        return;
+      auto m = any_machine ();
+      if (m->alive && m->up)
+        m->reboot ();
+    });
+  }
+  void
+  deafen (Time when, Time length)
+  {
+    world.at (when, [this, length] {
+      if (!world.machines.empty ())
+        any_machine ()->deafen (world.now + length);
+    });
+  }
   void
   machine_trouble (Time when)
   {
@@ -114,7 +165,8 @@
   void
   finish ()
   {
-    world.run_until (kLength);
+    world.at (length / 2, [this] { world.checker->calm (world.now); });
+    world.run_until (length);
     world.checker->end ();
     for (const std::string &what : world.checker->broken ())
       ADD_FAILURE () << what;
@@ -184,8 +236,74 @@
   day.finish ();
 }
 
+TEST_P (RandomRun, MachinesAreHeardButDoNotHear)
+{
+  Day day (GetParam () + 500);
+  day.load ();
+  for (int i = 0; i < 5; i++)
+    day.deafen ((Time) (day.world.uniform (15, 140) * kSecond), (Time) (day.world.uniform (5, 60) * kSecond));
+  day.crash (60 * kSecond, day.world.below (3));
+  day.crash (100 * kSecond, day.world.below (3));
+  day.finish ();
+}
+
+TEST_P (RandomRun, CopiesComeLate)
+{
+  Day day (GetParam () + 600);
+  day.world.copies = 0.2;
+  day.load ();
+  for (int i = 0; i < 4; i++) {
+    day.crash ((Time) (day.world.uniform (15, 150) * kSecond), day.world.below (3));
+    day.machine_trouble ((Time) (day.world.uniform (20, 150) * kSecond));
+  }
+  day.finish ();
+}
+
+TEST_P (RandomRun, ControllersKeepOnlyTheirWorkers)
+{
+  Day day (GetParam () + 700);
+  day.load ();
+  for (int i = 0; i < 4; i++)
+    day.cut_node ((Time) (day.world.uniform (15, 150) * kSecond), day.world.below (3), true);
+  day.finish ();
+}
+
+TEST_P (RandomRun, BackWithinAFractionOfASecond)
+{
+  Day day (GetParam () + 800);
+  day.world.late = 0.02; // claims of a former incarnation among them
+  day.load ();
+  for (int i = 0; i < 6; i++) {
+    Time when = (Time) (day.world.uniform (10, 150) * kSecond);
+    for (int node = 0; node < 3; node++)
+      if (day.world.chance (0.7))
+        day.blink (when, node);
+    day.reboot (when + (Time) (day.world.uniform (0, 3) * kSecond));
+  }
+  day.finish ();
+}
+
 INSTANTIATE_TEST_SUITE_P (Seeds, RandomRun, testing::Range<guint32> (1, 1 + kSeedsPerGroup));
 
+// Hundreds of machines under takeovers, deaths, cuts, deafness and late copies.
+TEST (LargeRun, HundredsOfMachines)
+{
+  Day day (4242, 50);
+  day.length = 300 * kSecond;
+  day.world.copies = 0.01;
+  day.load_large (100);
+  day.crash (25 * kSecond, 0);
+  day.crash (45 * kSecond, 1);
+  day.crash (45 * kSecond, 2);
+  for (int i = 0; i < 20; i++) {
+    day.machine_trouble ((Time) (day.world.uniform (20, 80) * kSecond));
+    day.deafen ((Time) (day.world.uniform (20, 80) * kSecond), 20 * kSecond);
+  }
+  day.cut_node (60 * kSecond, 1, false);
+  day.finish ();
+  EXPECT_GT (day.world.machine_count, 200u);
+}
+
 // The checker itself must be able to fail: one broken step per rule.
 class CheckerFails : public testing::Test {
 protected:
@@ -321,4 +439,72 @@
   expect ("nothing_ran");
 }
 
+TEST_F (CheckerFails, NoAnswerFor75Seconds)
+{
+  checker.told (0, "req-1", "queued");
+  checker.asked (0, "req-1", true);
+  checker.asked (200 * kSecond, "req-1", false); // in trouble still
+  checker.calm (200 * kSecond);
+  checker.asked (275 * kSecond, "req-1", false);
+  EXPECT_TRUE (checker.broken ().empty ());
+  checker.asked (275 * kSecond + 1, "req-1", false);
+  expect ("forgotten");
+}
+
+// Three jobs of one class and team: done, or begun late.
+class CheckerServes : public testing::Test {
+protected:
+  Checker checker{ { { "red", 800 } }, 10 * kSecond };
+  void
+  job (const std::string &ref, guint tasks, bool done, Time begun)
+  {
+    Checker::Job job;
+    job.team = job.job_class = "red";
+    job.tasks = tasks;
+    checker.submitted (ref, job);
+    checker.told (0, ref, "queued");
+    checker.on (begun, ref, 0, { "m1", "a", true });
+    for (guint i = 0; done && i < tasks; i++)
+      checker.finished (ref, i);
+  }
+  bool
+  failed (const std::string &what)
+  {
+    checker.end ();
+    const auto &all = checker.broken ();
+    return std::any_of (all.begin (), all.end (),
+                        [&] (const std::string &s) { return s.find (what) != std::string::npos; });
+  }
+};
+
+TEST_F (CheckerServes, HalfIsEnough)
+{
+  job ("req-1", 2, true, 0);
+  job ("req-2", 1, false, 0);
+  EXPECT_FALSE (failed ("served"));
+}
+
+TEST_F (CheckerServes, LessThanHalfOfATeamOrClassFails)
+{
+  job ("req-1", 3, true, 0);
+  job ("req-2", 1, false, 0);
+  job ("req-3", 1, false, 0);
+  EXPECT_TRUE (failed ("team red: 1 of 3"));
+  EXPECT_TRUE (failed ("class red: 1 of 3"));
+}
+
+TEST_F (CheckerServes, TheLargestMustBeServedToo)
+{
+  job ("req-1", 9, false, 0);
+  job ("req-2", 1, true, 0);
+  EXPECT_TRUE (failed ("the largest of class red: 0 of 1"));
+}
+
+TEST_F (CheckerServes, TheLargestMustBeginInFourMinutes)
+{
+  job ("req-1", 9, true, 240 * kSecond + 1);
+  job ("req-2", 1, true, 300 * kSecond);
+  EXPECT_TRUE (failed ("did not begin in four minutes"));
+}
+
 } // namespace
