--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -461,11 +461,20 @@
     return_machine (s, g_ptr_array_index (idle, i), "idle");
 }
 
+/* After a takeover the fleet is known once all reports have had their time; a few
+ * machines that nobody can account for must not keep others from being rented. */
+static gboolean
+fleet_known (const FtScheduler *s)
+{
+  double reports = s->settings->report_s * FT_REPORT_GAP + FT_WORKER_TIMEOUT_S;
+  return s->recovered || s->now - s->took_over_at > (gint64) (reports * FT_SECOND);
+}
+
 void
 ft_fleet_tick (FtScheduler *s)
 {
   give_up_machines (s);
-  if (!s->may_start || s->now < s->next_fleet || !s->recovered)
+  if (!s->may_start || s->now < s->next_fleet || !fleet_known (s))
     return;
   s->next_fleet = s->now + (gint64) (FT_FLEET_EVERY_S * FT_SECOND);
   plan_rentals (s);
