--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -145,6 +145,8 @@
 #define FT_PASS_EVERY_S 0.1
 /* Jobs looked at to fill one machine. */
 #define FT_FILL_JOBS 32
+/* Least seconds between two passes that look for work to stop: they look at all that runs. */
+#define FT_PREEMPT_EVERY_S 0.5
 /* Jobs for which one pass may look for work to stop. */
 #define FT_PREEMPT_JOBS 8
 /* Kinds of tasks that found no room, remembered within a pass. */
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -162,7 +162,7 @@
   GHashTable *pools;    /* "type/zone/kind" -> FtPool, owned */
   GPtrArray *order;     /* open jobs in order of placement, as of the last pass */
   GPtrArray *waiting;   /* those of them that had tasks to place */
-  gint64 next_pass;
+  gint64 next_pass, next_preempt;
   GPtrArray *victims;  /* scratch of a pass: FtAttempt that may be stopped, youngest first; NULL: not made */
   guint stops_pending; /* with `victims`: stops under way */
   guint looked_at;     /* machines and jobs looked at so far: what bounds of work are tested on */
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -374,13 +374,14 @@
   if (!s->may_start || !s->loaded || s->waiting->len == 0)
     return;
   find_machines (s, &pass);
-  guint placed = 0, preempting = 0;
+  guint placed = 0, preempting = s->now >= s->next_preempt ? 0 : FT_PREEMPT_JOBS;
   for (guint i = 0; i < s->waiting->len && placed < FT_PASS_TASKS; i++) {
     FtJob *job = g_ptr_array_index (s->waiting, i);
     placed += place_job (s, job, &pass);
     if (job->pass_blocked == s->pass && job->counts[FT_TASK_QUEUED] > 0 && preempting < FT_PREEMPT_JOBS) {
       ft_preempt_for (s, job);
       preempting++;
+      s->next_preempt = s->now + (gint64) (FT_PREEMPT_EVERY_S * FT_SECOND);
     }
   }
   g_ptr_array_unref (pass.machines);
--- a/src/main.c
+++ b/src/main.c
@@ -1,4 +1,5 @@
 /* flintrack: one controller of the cluster scheduler. */
+#include <malloc.h>
 #include <stdio.h>
 
 #include <gio/gio.h>
@@ -18,6 +19,9 @@
     fprintf (stderr, "flintrack: %s\n", error->message);
     return EXIT_SETTINGS;
   }
+  /* Messages are many small pieces beside a few large buffers; each of the latter
+   * would have the allocator join all the former again. */
+  mallopt (M_MXFAST, 0);
   ft_log_init (config->member);
   FtNode *node = ft_node_new (config, &error);
   if (node == NULL) {
