--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -133,6 +133,8 @@
  * a machine, in seconds of waiting. */
 #define FT_SCORE_LEFT_S 2.0
 #define FT_SCORE_ORDINARY_S 0.5
+/* By how much the two weigh more for work that is not urgent. */
+#define FT_SCORE_PACK 4.0
 /* Seconds a task that was stopped for another leaves its room to that one. */
 #define FT_PREEMPTED_PAUSE_S 2.0
 /* A job is too late when less than this share of its estimate is left until its
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -102,6 +102,18 @@
   g_array_append_val (needs, need);
 }
 
+/* How many of a job's tasks one place can run after each other in time: what has
+ * time until its deadline needs fewer machines. Urgent work waits for none. */
+static double
+waves (const FtScheduler *s, const FtJob *job, const FtMachineType *type)
+{
+  const FtJobSpec *spec = job->spec;
+  if (job->deadline_at == 0 || spec->priority >= FT_PRIORITY_HIGH || spec->estimate_s <= 0)
+    return 1;
+  double left = (double) (job->deadline_at - s->now) / FT_SECOND - spec->estimate_s - type->boot_s;
+  return 1 + MAX (0, left) / spec->estimate_s;
+}
+
 static GArray *
 find_needs (FtScheduler *s)
 {
@@ -120,7 +132,8 @@
     if (type == NULL)
       continue;
     room[t] -= tasks * job->spec->cpus;
-    add_need (needs, type, job->spec->zone, job->spec->spot, tasks / per_machine (type, job->spec),
+    add_need (needs, type, job->spec->zone, job->spec->spot,
+              tasks / per_machine (type, job->spec) / waves (s, job, type),
               job->pass_blocked == s->pass);
   }
   return needs;
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -131,7 +131,10 @@
     }
   }
   double left = (machine->type->cpus - machine->cpus - spec->cpus) / machine->type->cpus;
-  return wait + FT_SCORE_LEFT_S * left + (machine->spot ? 0 : FT_SCORE_ORDINARY_S);
+  /* Work that need not begin at once is packed, so that machines come free whole,
+   * the dear ones first. */
+  double pack = spec->priority < FT_PRIORITY_HIGH ? FT_SCORE_PACK : 1;
+  return wait + pack * (FT_SCORE_LEFT_S * left + (machine->spot ? 0 : FT_SCORE_ORDINARY_S));
 }
 
 /* A task keeps off the machine where it failed, for a while only: it may be
