--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -275,6 +275,13 @@
 #define FT_READY_MARGIN_S 1.0
 /* Seconds named in Retry-After. */
 #define FT_RETRY_AFTER_S 1
+/* Open jobs whose revision is kept for polls; polls that wait at once. */
+#define FT_KNOWN_OPEN_MOST 16384
+#define FT_POLLS_MOST 4096
+/* Conditions that a transaction may have for each change it may have (protocol). */
+#define FT_CONDITIONS_PER_CHANGE 4
+/* Open jobs in one heartbeat: its body stays well within the largest. */
+#define FT_MESH_JOBS_MOST 1000
 /* Final states kept in memory. */
 #define FT_FINAL_CACHE 4096
 /* Connections that are still taken in beyond the share below, to be told to close. */
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -133,8 +133,7 @@
       continue;
     room[t] -= tasks * job->spec->cpus;
     add_need (needs, type, job->spec->zone, job->spec->spot,
-              tasks / per_machine (type, job->spec) / waves (s, job, type),
-              job->pass_blocked == s->pass);
+              tasks / per_machine (type, job->spec) / waves (s, job, type), job->pass_blocked == s->pass);
   }
   return needs;
 }
--- a/src/net/mesh.c
+++ b/src/net/mesh.c
@@ -40,7 +40,9 @@
   (void) state;
   (void) tasks;
   (void) waits_for;
-  if (done > 0 || running > 0)
+  /* For display only: what is left out shows as queued. A body beyond the limit
+   * would be refused whole. */
+  if ((done > 0 || running > 0) && json_object_size (data) < FT_MESH_JOBS_MOST)
     json_object_set_new (data, ref, json_pack ("[i, i]", (int) done, (int) running));
 }
 
--- a/src/net/node.c
+++ b/src/net/node.c
@@ -237,6 +237,7 @@
     g_array_append_val (node->peers, view);
   }
   node->mesh_jobs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  node->polls = ft_polls_new (node);
   node->finals = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_queue_init (&node->final_order);
   guint most = (guint) (config->max_connections * FT_SOCKET_SHARE) - FT_CONNECTIONS_PER_HOST;
@@ -265,6 +266,7 @@
   ft_http_server_free (node->mesh_server);
   ft_leader_end (node);
   ft_state_free (node->state);
+  ft_polls_free (node->polls);
   ft_http_client_free (node->workers);
   ft_http_client_free (node->mesh);
   ft_http_client_free (node->cloud);
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -10,6 +10,7 @@
 #include "net/state_client.h"
 
 typedef struct _FtNode FtNode;
+typedef struct _FtPolls FtPolls;
 
 /* What a peer said last. */
 typedef struct {
@@ -56,6 +57,7 @@
   gint64 next_settings;
   gboolean settings_in_flight;
 
+  FtPolls *polls;
   GHashTable *finals; /* ref -> final state (static text) */
   GQueue final_order;
   guint timer;
@@ -84,6 +86,17 @@
 void ft_worker_report (FtNode *node, FtHttpRequest *request);
 gboolean ft_node_ready (const FtNode *node, gint64 now);
 
+/* polls.c: what is asked about open jobs, many at a time */
+typedef enum { FT_POLL_OPEN, FT_POLL_CHANGED, FT_POLL_FAILED } FtPollResult;
+typedef void (*FtPollDone) (FtPollResult result, gpointer data);
+FtPolls *ft_polls_new (FtNode *node);
+void ft_polls_free (FtPolls *polls);
+/* The job's row is open at this revision. */
+void ft_polls_remember (FtPolls *polls, const char *ref, guint64 stamp);
+/* Asks whether it still is; FALSE, and `done` is not called, if its revision is not
+ * known or too many wait. */
+gboolean ft_polls_ask (FtPolls *polls, const char *ref, FtPollDone done, gpointer data);
+
 /* mesh.c */
 void ft_mesh_tick (FtNode *node, gint64 now);
 void ft_mesh_handle (FtHttpRequest *request, gpointer node);
--- /dev/null
+++ b/src/net/polls.c
@@ -0,0 +1,162 @@
+/* Polls of open jobs. A job's row changes only once, from open to its end, so one
+ * comparison of many known revisions answers many polls: each waits for a request
+ * that is sent after it came, and no older answer can follow a newer one. */
+#include "core/constants.h"
+#include "net/node.h"
+#include "wire/store.h"
+
+struct _FtPolls {
+  FtNode *node;      /* borrowed */
+  GHashTable *known; /* ref -> revision of its row while open */
+  GQueue known_order;
+  GQueue waiting;   /* Poll, oldest first */
+  GPtrArray *asked; /* Poll of the request under way; NULL: none */
+};
+
+typedef struct {
+  char *ref;
+  guint64 stamp;
+  gint64 began;
+  FtPollDone done;
+  gpointer data;
+} Poll;
+
+static void
+poll_free (Poll *poll)
+{
+  g_free (poll->ref);
+  g_free (poll);
+}
+
+FtPolls *
+ft_polls_new (FtNode *node)
+{
+  FtPolls *polls = g_new0 (FtPolls, 1);
+  polls->node = node;
+  polls->known = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g_queue_init (&polls->known_order);
+  g_queue_init (&polls->waiting);
+  return polls;
+}
+
+void
+ft_polls_free (FtPolls *polls)
+{
+  if (polls == NULL)
+    return;
+  g_hash_table_unref (polls->known);
+  g_queue_clear_full (&polls->known_order, g_free);
+  g_queue_clear_full (&polls->waiting, (GDestroyNotify) poll_free);
+  if (polls->asked != NULL) {
+    g_ptr_array_foreach (polls->asked, (GFunc) (void (*) (void)) poll_free, NULL);
+    g_ptr_array_unref (polls->asked);
+  }
+  g_free (polls);
+}
+
+void
+ft_polls_remember (FtPolls *polls, const char *ref, guint64 stamp)
+{
+  guint64 *value = g_new (guint64, 1);
+  *value = stamp;
+  if (!g_hash_table_contains (polls->known, ref))
+    g_queue_push_tail (&polls->known_order, g_strdup (ref));
+  g_hash_table_insert (polls->known, g_strdup (ref), value);
+  while (g_queue_get_length (&polls->known_order) > FT_KNOWN_OPEN_MOST) {
+    g_autofree char *oldest = g_queue_pop_head (&polls->known_order);
+    g_hash_table_remove (polls->known, oldest);
+  }
+}
+
+static void
+finish (Poll *poll, FtPollResult result)
+{
+  poll->done (result, poll->data);
+  poll_free (poll);
+}
+
+static void ask_next (FtPolls *polls);
+
+/* Which of the compared ones have changed is named; the others were compared in
+ * vain and are asked about again at once, first in their order. */
+static void
+sort_out (FtPolls *polls, GPtrArray *asked, const json_t *body)
+{
+  gboolean any = FALSE;
+  for (guint i = asked->len; i > 0; i--) {
+    Poll *poll = g_ptr_array_index (asked, i - 1);
+    g_autofree char *key = ft_key_job (poll->ref);
+    if (!ft_store_failed (body, key)) {
+      g_queue_push_head (&polls->waiting, poll);
+      continue;
+    }
+    any = TRUE;
+    g_hash_table_remove (polls->known, poll->ref);
+    finish (poll, FT_POLL_CHANGED);
+  }
+  Poll *poll;
+  while (!any && (poll = g_queue_pop_head (&polls->waiting)) != NULL)
+    finish (poll, FT_POLL_FAILED); /* an answer that names none: nothing can be told from it */
+}
+
+static void
+on_compared (guint status, const json_t *body, gpointer data)
+{
+  FtPolls *polls = data;
+  g_autoptr (GPtrArray) asked = g_steal_pointer (&polls->asked);
+  if (status == 409) {
+    sort_out (polls, asked, body);
+  } else {
+    for (guint i = 0; i < asked->len; i++)
+      finish (g_ptr_array_index (asked, i), status == 200 ? FT_POLL_OPEN : FT_POLL_FAILED);
+  }
+  ask_next (polls);
+}
+
+static gboolean
+too_old (const Poll *poll)
+{
+  return g_get_monotonic_time () - poll->began > (gint64) (FT_USER_DEADLINE_S * FT_SECOND);
+}
+
+static void
+ask_next (FtPolls *polls)
+{
+  if (polls->asked != NULL || g_queue_is_empty (&polls->waiting))
+    return;
+  json_t *txn = json_pack ("{s:[]}", "if");
+  guint most = FT_CONDITIONS_PER_CHANGE * polls->node->config->core.txn_ops;
+  polls->asked = g_ptr_array_new ();
+  Poll *poll;
+  while (polls->asked->len < most && (poll = g_queue_pop_head (&polls->waiting)) != NULL) {
+    if (too_old (poll)) {
+      finish (poll, FT_POLL_FAILED);
+      continue;
+    }
+    g_autofree char *key = ft_key_job (poll->ref);
+    ft_txn_if (txn, key, poll->stamp);
+    g_ptr_array_add (polls->asked, poll);
+  }
+  if (polls->asked->len > 0)
+    ft_state_commit (polls->node->state, txn, FT_STATE_READ, on_compared, polls);
+  else
+    g_clear_pointer (&polls->asked, g_ptr_array_unref);
+  json_decref (txn);
+}
+
+gboolean
+ft_polls_ask (FtPolls *polls, const char *ref, FtPollDone done, gpointer data)
+{
+  const guint64 *stamp = g_hash_table_lookup (polls->known, ref);
+  if (stamp == NULL || g_queue_get_length (&polls->waiting) >= FT_POLLS_MOST)
+    return FALSE;
+  Poll *poll = g_new0 (Poll, 1);
+  poll->ref = g_strdup (ref);
+  poll->stamp = *stamp;
+  poll->began = g_get_monotonic_time ();
+  poll->done = done;
+  poll->data = data;
+  g_queue_push_tail (&polls->waiting, poll);
+  ask_next (polls);
+  return TRUE;
+}
--- a/src/net/user_api.c
+++ b/src/net/user_api.c
@@ -130,8 +130,11 @@
     finish (call, 503, NULL);
   else if (call->withdraw && strcmp (state, "open") == 0)
     withdraw_open (call, &row, tasks);
-  else
+  else {
+    if (strcmp (state, "open") == 0)
+      ft_polls_remember (call->node->polls, call->ref, row.stamp);
     finish (call, 200, state_body (call->node, call->ref, state, tasks));
+  }
 }
 
 static void
@@ -150,7 +153,9 @@
 on_created (guint status, const json_t *body, gpointer data)
 {
   UserCall *call = data;
-  (void) body;
+  guint64 stamp;
+  if (status == 200 && ft_store_revision (body, &stamp))
+    ft_polls_remember (call->node->polls, call->ref, stamp);
   if (status == 200)
     finish (call, 201, ft_message_job_state (call->ref, "queued", 0, 0, FALSE));
   else if (status == 409 || status == 0)
@@ -248,6 +253,18 @@
 
 /* ---- routes ---- */
 
+static void
+on_polled (FtPollResult result, gpointer data)
+{
+  UserCall *call = data;
+  if (result == FT_POLL_CHANGED)
+    read_job (call);
+  else if (result == FT_POLL_OPEN)
+    finish (call, 200, open_body (call->node, call->ref));
+  else
+    finish (call, 503, NULL);
+}
+
 static void
 ask (FtNode *node, FtHttpRequest *request, const char *ref, gboolean withdraw)
 {
@@ -267,7 +284,8 @@
   }
   UserCall *call = user_call_new (node, request, ref);
   call->withdraw = withdraw;
-  read_job (call);
+  if (withdraw || !ft_polls_ask (node->polls, ref, on_polled, call))
+    read_job (call);
 }
 
 void
--- a/tests/test_units.cpp
+++ b/tests/test_units.cpp
@@ -254,6 +254,14 @@
     g_autoptr (GArray) none = ft_scheduler_answer (s, r, now);
     write (now);
   }
+  void
+  other_up (gint64 now)
+  {
+    g_autoptr (FtReport) r = report (1, 1, 3);
+    g_free (r->machine);
+    r->machine = g_strdup ("n-2");
+    ASSERT_TRUE (ft_scheduler_report (s, r, now));
+  }
   GArray *
   exchange (gint64 now, guint64 sequence, std::vector<FtReportedTask> tasks = {}, guint64 session = 1)
   {
@@ -340,6 +348,141 @@
   ft_scheduler_written (b.s, writes, 100 * kS);
 }
 
+// ---- added to the protocol with the grown deployments ----
+
+TEST (Scheduler, AMachineThatDoesNotHearGetsNoWorkAndIsReturned)
+{
+  Bench b;
+  ft_scheduler_loaded (b.s, 100 * kS);
+  b.machine_up (100 * kS);
+  ft_scheduler_job_added (b.s, spec ("req-1", 1), 5, 101 * kS, 0);
+  // Each answer starts the task anew; no report ever shows it.
+  gint64 at = 101 * kS;
+  for (guint64 sequence = 2; sequence < 11; sequence++, at += 2 * kS)
+    g_autoptr (GArray) starts = b.exchange (at, sequence);
+  b.other_up (at); // most others are heard
+  FtMachine *m = (FtMachine *) g_hash_table_lookup (b.s->machines, "n-1");
+  EXPECT_TRUE (ft_machine_deaf (m));
+  EXPECT_FALSE (ft_machine_usable (b.s, m));
+  ft_scheduler_tick (b.s, at, TRUE);
+  EXPECT_EQ (m->state, FT_MACHINE_RETURNING);
+}
+
+// A takeover does not wait for a machine whose reports never show the new token.
+TEST (Scheduler, ADeafMachineOfTheRosterIsReturned)
+{
+  Bench b;
+  ft_scheduler_load_machine (b.s, "row-1", "n-1", "10.1.0.1:9000", "std", "a", FALSE);
+  ft_scheduler_loaded (b.s, 100 * kS);
+  gint64 at = 100 * kS;
+  for (guint64 sequence = 1; sequence < 11; sequence++, at += 2 * kS) {
+    g_autoptr (FtReport) old = b.report (1, sequence, 2);
+    EXPECT_TRUE (ft_scheduler_report (b.s, old, at));
+    g_autoptr (GArray) none = ft_scheduler_answer (b.s, old, at);
+    EXPECT_EQ (none->len, 0u);
+  }
+  b.other_up (at);
+  ft_scheduler_tick (b.s, at, TRUE);
+  EXPECT_EQ (((FtMachine *) g_hash_table_lookup (b.s->machines, "n-1"))->state, FT_MACHINE_RETURNING);
+}
+
+TEST (Scheduler, ALateCopyRevivesNoMachineAndProvesNoAbsence)
+{
+  Bench b;
+  ft_scheduler_loaded (b.s, 100 * kS);
+  b.machine_up (100 * kS, 5);
+  FtMachine *m = (FtMachine *) g_hash_table_lookup (b.s->machines, "n-1");
+  // From before it knew us, with a higher number than any we saw: tokens only rise.
+  g_autoptr (FtReport) before = b.report (1, 9, 2);
+  ft_scheduler_report (b.s, before, 140 * kS);
+  EXPECT_EQ (m->last_report, 100 * kS);
+  EXPECT_EQ (m->sequence, 5u);
+  // Of a former session.
+  g_autoptr (FtReport) session = b.report (0, 9, 3);
+  ft_scheduler_report (b.s, session, 140 * kS);
+  EXPECT_EQ (m->last_report, 100 * kS);
+  // Of a machine that nobody knows any more: no work before it shows our token.
+  g_autoptr (FtReport) ghost = b.report (1, 1, 2);
+  g_free (ghost->machine);
+  ghost->machine = g_strdup ("n-9");
+  ft_scheduler_report (b.s, ghost, 140 * kS);
+  b.write (140 * kS);
+  EXPECT_FALSE (ft_machine_usable (b.s, (FtMachine *) g_hash_table_lookup (b.s->machines, "n-9")));
+  EXPECT_EQ (ft_scheduler_last_heard (b.s), 100 * kS);
+}
+
+// Late for its deadline, below others in priority: after 120 s it goes first.
+TEST (Placement, NothingWaitsForEverToBegin)
+{
+  Bench b;
+  ft_scheduler_loaded (b.s, 100 * kS);
+  b.machine_up (100 * kS);
+  FtJobSpec *late = spec ("req-1", 1);
+  late->cpus = 16;
+  late->deadline_s = 5;
+  late->estimate_s = 60;
+  late->priority = FT_PRIORITY_LOW;
+  ft_scheduler_job_added (b.s, late, 5, 101 * kS, 0);
+  b.s->may_start = FALSE;
+  FtJobSpec *urgent = spec ("req-2", 1);
+  urgent->cpus = 16;
+  urgent->priority = FT_PRIORITY_HIGH;
+  ft_scheduler_job_added (b.s, urgent, 6, 222 * kS, 0);
+  g_autoptr (GArray) starts = b.exchange (222 * kS, 2);
+  ASSERT_EQ (count (starts, FT_COMMAND_START), 1u);
+  EXPECT_STREQ (g_array_index (starts, FtCommand, 0).job, "req-1");
+}
+
+// No report costs a look at all jobs or machines, whatever waits.
+TEST (Scheduler, AReportLooksAtFewThings)
+{
+  Bench b;
+  const guint machines = 1000, jobs = 300;
+  b.world.settings.value_kb = 8;
+  b.world.settings.teams[0].cpus_max = 1e6;
+  ft_scheduler_loaded (b.s, 100 * kS);
+  auto name = [] (FtReport *r, guint i) {
+    g_free (r->machine);
+    r->machine = g_strdup_printf ("n-%06u", i);
+  };
+  for (guint i = 0; i < machines; i++) {
+    g_autoptr (FtReport) r = b.report (1, 1, 3);
+    name (r, i);
+    ft_scheduler_report (b.s, r, 100 * kS);
+  }
+  for (int i = 0; i < 20; i++)
+    b.write (100 * kS);
+  for (guint i = 0; i < jobs; i++) {
+    g_autofree char *ref = g_strdup_printf ("req-%u", i);
+    ft_scheduler_job_added (b.s, spec (ref, 250), 5 + i, 100 * kS, 0);
+  }
+  // Passes fill every machine; far more waits.
+  gint64 at = 100 * kS;
+  for (int i = 0; i < 40; i++)
+    ft_scheduler_place (b.s, at += kS / 5, TRUE);
+  for (guint64 left = 1; left > 0;) { // all commands are on their way
+    FtDirect *direct = ft_scheduler_next_direct (b.s, at);
+    left = direct != nullptr;
+    ft_direct_free (direct);
+  }
+  FtMachine *m = (FtMachine *) g_hash_table_lookup (b.s->machines, "n-000007");
+  ASSERT_EQ (ft_machine_room (m, ((FtJob *) g_hash_table_lookup (b.s->jobs, "req-299"))->spec), 0u);
+  guint before = ft_scheduler_looked_at (b.s);
+  ft_scheduler_place (b.s, at, TRUE); // within the pause: no pass
+  g_autoptr (FtReport) r = b.report (1, 2, 3);
+  name (r, 7);
+  ft_scheduler_report (b.s, r, at);
+  g_autoptr (GArray) commands = ft_scheduler_answer (b.s, r, at);
+  EXPECT_EQ (ft_scheduler_next_direct (b.s, at), nullptr);
+  g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (b.s, 11, at);
+  ft_scheduler_written (b.s, writes, at);
+  EXPECT_LE (ft_scheduler_looked_at (b.s) - before, 64u);
+  // A pass over a full fleet looks at each machine and job a few times at most.
+  before = ft_scheduler_looked_at (b.s);
+  ft_scheduler_tick (b.s, at + kS, TRUE);
+  EXPECT_LE (ft_scheduler_looked_at (b.s) - before, 40 * (machines + jobs));
+}
+
 TEST (Scheduler, ALapsedLeaderSendsStopsOnly)
 {
   Bench b;
