--- a/tests/test_program.cpp
+++ b/tests/test_program.cpp
@@ -484,6 +484,13 @@
   EXPECT_EQ (get (0, "/admin/nothing")->status, 404u);
   EXPECT_EQ (call ("DELETE", c.mesh[0], "/admin/status", nullptr, FT_BODY_JSON)->status, 405u);
 
+  // A message between controllers beyond the limit is refused, and no more than that.
+  std::string long_text (70000, 'x');
+  json_t *overlong = json_pack ("{s:s, s:s}", "member", "hearth-1", "more", long_text.c_str ());
+  EXPECT_EQ (call ("POST", c.mesh[0], "/mesh/beat", overlong, FT_BODY_JSON)->status, 400u);
+  json_t *beat = json_pack ("{s:s, s:i}", "member", "hearth-1", "served_ms_ago", 1);
+  EXPECT_EQ (call ("POST", c.mesh[0], "/mesh/beat", beat, FT_BODY_JSON)->status, 200u);
+
   // Settings: what is refused, and why.
   EXPECT_EQ (put (other, json_string ("no map"))->status, 400u);
   EXPECT_EQ (put (other, change (0, "no_such", json_real (1)))->status, 404u);
