--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -340,8 +340,9 @@
 static gboolean
 deaf_long (const FtScheduler *s, const FtMachine *m)
 {
+  /* A controller that is late itself answers too late: that is not the machine's. */
   return m->state == FT_MACHINE_UP && ft_machine_deaf (m)
-         && s->now - m->deaf_since > (gint64) (FT_DEAF_RETURN_S * FT_SECOND);
+         && s->now - MAX (m->deaf_since, s->hearing_since) > (gint64) (FT_DEAF_RETURN_S * FT_SECOND);
 }
 
 static void
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -316,7 +316,7 @@
   return placed;
 }
 
-/* A gang or a service: all of it or nothing, under one attempt number. */
+/* A gang: all of it or nothing, under one attempt number. */
 static guint
 place_whole (FtScheduler *s, FtJob *job, Pass *pass)
 {
--- a/tests/test_units.cpp
+++ b/tests/test_units.cpp
@@ -373,6 +373,10 @@
   FtMachine *m = (FtMachine *) g_hash_table_lookup (b.s->machines, "n-1");
   EXPECT_TRUE (ft_machine_deaf (m));
   EXPECT_FALSE (ft_machine_usable (b.s, m));
+  b.s->hearing_since = at - 5 * kS; // we were late ourselves
+  ft_scheduler_tick (b.s, at, TRUE);
+  EXPECT_EQ (m->state, FT_MACHINE_UP);
+  b.s->hearing_since = 0;
   ft_scheduler_tick (b.s, at, TRUE);
   EXPECT_EQ (m->state, FT_MACHINE_RETURNING);
 }
