Tidy: a flag that could be derived, an unused parameter, two unused functions and a split comment go

No change of behaviour: a connection is suspended only after its handler has returned, so the server needs no second flag for being within it.

--- a/src/core/model.h
+++ b/src/core/model.h
@@ -188,7 +188,6 @@
 };
 
 /* task.c */
-const char *ft_task_state_name (FtTaskState state);
 gboolean ft_task_set_state (FtJob *job, guint index, FtTaskState to);
 
 /* job.c */
@@ -247,7 +246,7 @@
 void ft_roster_remove (FtScheduler *s, FtMachine *machine);
 /* A row as read from the store; machines are added to it by ft_roster_loaded(). */
 FtRosterRow *ft_roster_row (FtScheduler *s, const char *id);
-void ft_roster_loaded (FtScheduler *s, FtRosterRow *row, FtMachine *machine);
+void ft_roster_loaded (FtRosterRow *row, FtMachine *machine);
 /* Rows that are due, as writes; `most` at a time. */
 void ft_roster_writes (FtScheduler *s, GPtrArray *writes, guint most);
 void ft_roster_written (FtScheduler *s, const FtWrite *write, gboolean applied);
--- a/src/core/roster.c
+++ b/src/core/roster.c
@@ -74,9 +74,8 @@
 }
 
 void
-ft_roster_loaded (FtScheduler *s, FtRosterRow *row, FtMachine *machine)
+ft_roster_loaded (FtRosterRow *row, FtMachine *machine)
 {
-  (void) s;
   join (row, machine);
   row->stored = TRUE;
   machine->in_roster = TRUE;
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -822,7 +822,7 @@
   if (g_hash_table_contains (s->machines, name) || g_hash_table_contains (s->gone, name))
     return;
   FtMachine *machine = ft_machine_new (s, name, addr, type, zone, spot);
-  ft_roster_loaded (s, ft_roster_row (s, row), machine);
+  ft_roster_loaded (ft_roster_row (s, row), machine);
   /* A former leader that lost the store may have answered it until then. */
   machine->last_answer = s->took_over_at + s->hold_us;
   machine->last_report = s->now;
@@ -880,8 +880,7 @@
     ft_machine_set_state (machine, FT_MACHINE_SILENT);
 }
 
-/* A look at what no event tells of: a command that
- * could not be sent when it came up. */
+/* What no event tells of: a command that could not be sent when it came up. */
 static gboolean
 wants_direct (const FtMachine *machine)
 {
--- a/src/core/task.c
+++ b/src/core/task.c
@@ -3,12 +3,6 @@
 static const char *const names[]
     = { "unknown", "queued", "starting", "fetching", "running", "saving", "finished", "done", "dropped" };
 
-const char *
-ft_task_state_name (FtTaskState state)
-{
-  return names[state];
-}
-
 #define BIT(state) (1u << (state))
 #define LIVE (BIT (FT_TASK_STARTING) | BIT (FT_TASK_FETCHING) | BIT (FT_TASK_RUNNING) | BIT (FT_TASK_SAVING))
 
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -28,8 +28,7 @@
   gsize total;
   json_t *body;
   gboolean read;      /* the body has been decoded */
-  gboolean in_server; /* called from within the server: no need to suspend */
-  gboolean suspended;
+  gboolean suspended; /* the handler has returned without an answer */
   guint status;
   struct MHD_Response *response;
 };
@@ -132,9 +131,7 @@
     return take_chunk (request, chunk, size);
   if (request->response != NULL)
     return queue_response (request); /* resumed */
-  request->in_server = TRUE;
   server->handler (request, server->data);
-  request->in_server = FALSE;
   if (request->response != NULL)
     return queue_response (request);
   request->suspended = TRUE;
@@ -203,7 +200,7 @@
   }
   if (server->connections > server->most)
     MHD_add_response_header (request->response, MHD_HTTP_HEADER_CONNECTION, "close");
-  if (request->suspended && !request->in_server) {
+  if (request->suspended) {
     request->suspended = FALSE;
     g_hash_table_remove (server->waiting, request);
     MHD_resume_connection (request->connection);
--- a/src/net/node.c
+++ b/src/net/node.c
@@ -4,12 +4,6 @@
 #include "wire/cloud.h"
 #include "wire/store.h"
 
-gboolean
-ft_node_leads (const FtNode *node)
-{
-  return node->scheduler != NULL;
-}
-
 const char *
 ft_node_leader (const FtNode *node)
 {
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -70,7 +70,6 @@
 void ft_node_pump (FtNode *node);
 /* We are leader no more. */
 void ft_node_step_down (FtNode *node, const char *why);
-gboolean ft_node_leads (const FtNode *node);
 /* Who leads, as far as this node knows; borrowed, or NULL. */
 const char *ft_node_leader (const FtNode *node);
 
