--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -15,6 +15,10 @@
 #define FT_SWEEP_JITTER 0.25
 /* Seconds until a sweep that failed is repeated. */
 #define FT_BLIND_AGAIN_S 0.7
+/* Seconds that a renewal of a suspected leader may be overdue; and seconds for which the
+ * fence must have stood for a sure hint to be taken at once. */
+#define FT_SUSPECT_MARGIN_S 1.0
+#define FT_SUSPECT_CALM_S 15.0
 /* Renewals go out every lease time divided by this. */
 #define FT_RENEW_FRACTION 3.0
 /* Share by which two steady clocks may differ (protocol: 0.05 % each way, so
@@ -269,6 +273,8 @@
 #define FT_MESH_REFUSED_S 0.3
 #define FT_MESH_AGAIN_S 0.3
 #define FT_MESH_REFUSALS 2
+/* Seconds for which a peer's answer shows that the mesh works. */
+#define FT_MESH_WITNESS_S 1.5
 /* Seconds after which what a peer said no longer counts. */
 #define FT_MESH_FRESH_S 3.5
 /* Seconds without a state answer after which contact counts as lost. */
--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -16,7 +16,9 @@
   gboolean sighted;
   gint64 next_sweep;
   gint64 abstain_until;
+  gint64 fence_since;                    /* when the present fence was first seen */
   gboolean suspected, suspicion_checked; /* the rows were read after the hint */
+  gboolean suspicion_sure;
 
   guint64 token;       /* ours, while acquiring or holding */
   guint64 fence_stamp; /* of our acquisition */
@@ -125,12 +127,20 @@
   lease->next_sweep = now + (gint64) (lease->sweep_us * jitter);
 }
 
+static void
+sweep_again_soon (FtLease *lease, gint64 now)
+{
+  lease->next_sweep = now + MIN (lease->next_sweep - now, (gint64) (FT_BLIND_AGAIN_S * FT_SECOND));
+}
+
 void
 ft_lease_observe (FtLease *lease, gint64 now, const FtLeaseRows *rows)
 {
   gboolean same = lease->sighted && rows->fence_stamp == lease->seen.fence_stamp
                   && rows->renewal_stamp == lease->seen.renewal_stamp;
   lease->suspicion_checked = lease->suspected && same;
+  if (!lease->sighted || rows->fence_stamp != lease->seen.fence_stamp)
+    lease->fence_since = now;
   if (!same) {
     lease->suspected = FALSE; /* it has renewed, or another leads */
     lease->unrenewed_since = now;
@@ -140,6 +150,8 @@
   }
   lease->sighted = TRUE;
   plan_sweep (lease, now);
+  if (lease->suspected)
+    sweep_again_soon (lease, now);
   gboolean leading = lease->state == FT_LEASE_HOLDING || lease->state == FT_LEASE_LAPSED;
   if (leading && rows->fence_stamp != lease->fence_stamp && rows->token > lease->token)
     ft_lease_lost (lease, now);
@@ -152,17 +164,21 @@
   lease->unrenewed_since = now;
   plan_sweep (lease, now);
   /* The end of an outage should not wait for a whole period: nobody leads then. */
-  lease->next_sweep = now + MIN (lease->next_sweep - now, (gint64) (FT_BLIND_AGAIN_S * FT_SECOND));
+  sweep_again_soon (lease, now);
 }
 
+/* Where connections between controllers are refused, a live leader looks like a dead
+ * one from all sides, and claims at first sight made a new leader twice a second:
+ * only a witness for the mesh, and a leader that is not new, allow that. */
 void
-ft_lease_suspect (FtLease *lease, const char *holder, gint64 now)
+ft_lease_suspect (FtLease *lease, const char *holder, gboolean sure, gint64 now)
 {
   if (lease->state != FT_LEASE_FOLLOWING || lease->suspected || !lease->sighted
       || g_strcmp0 (lease->seen.holder, holder) != 0)
     return;
   g_message ("lease %s: holder %s is suspected to be gone", lease->member, holder);
   lease->suspected = TRUE;
+  lease->suspicion_sure = sure && now - lease->fence_since > (gint64) (FT_SUSPECT_CALM_S * FT_SECOND);
   lease->suspicion_checked = FALSE;
   lease->next_sweep = now;
 }
@@ -182,6 +198,13 @@
   return g_strcmp0 (lease->seen.holder, lease->member) == 0;
 }
 
+/* A live holder renews within this time. */
+static gint64
+renewal_overdue (const FtLease *lease, gint64 longest)
+{
+  return (gint64) ((double) longest / lease->renew_fraction * (1 + FT_CLOCK_DRIFT) + FT_SUSPECT_MARGIN_S * FT_SECOND);
+}
+
 gboolean
 ft_lease_acquire_due (const FtLease *lease, gint64 now)
 {
@@ -191,10 +214,10 @@
     return FALSE;
   if (lease->seen.fence_stamp == 0 || holder_is_self (lease) || lease->seen.released)
     return TRUE;
+  gint64 longest = MAX (lease->lease_us, lease->seen.lease_us), quiet = now - lease->unrenewed_since;
   if (lease->suspected && lease->suspicion_checked)
-    return TRUE;
-  gint64 longest = MAX (lease->lease_us, lease->seen.lease_us);
-  return now - lease->unrenewed_since > (gint64) (longest * (1 + FT_CLOCK_DRIFT));
+    return lease->suspicion_sure || quiet > renewal_overdue (lease, longest);
+  return quiet > (gint64) (longest * (1 + FT_CLOCK_DRIFT));
 }
 
 FtLeaseClaim
--- a/src/core/lease.h
+++ b/src/core/lease.h
@@ -51,10 +51,11 @@
 void ft_lease_blind (FtLease *lease, gint64 now);
 
 /* Peers find this holder gone. A hint only: it makes us look at the rows at once
- * and, if they stand still, claim before the lease time is over. The claim is
+ * and claim before the lease time is over: if `sure` (another peer answers us) and the
+ * fence is not new, when they stand still, else when a renewal is overdue. The claim is
  * fenced like any other, but the holder may live: it can start nothing beyond the
  * jobs' committed marks, and what lies below them waits for the machines. */
-void ft_lease_suspect (FtLease *lease, const char *holder, gint64 now);
+void ft_lease_suspect (FtLease *lease, const char *holder, gboolean sure, gint64 now);
 
 gboolean ft_lease_sweep_due (const FtLease *lease, gint64 now);
 gboolean ft_lease_acquire_due (const FtLease *lease, gint64 now);
--- a/src/net/mesh.c
+++ b/src/net/mesh.c
@@ -12,6 +12,19 @@
   guint peer;
 } Beat;
 
+/* Another peer answers us: the mesh works, and who refuses us is alone with it. */
+static gboolean
+mesh_works (const FtNode *node, gint64 now)
+{
+  for (guint i = 0; i < node->peers->len; i++) {
+    const FtPeerView *view = &g_array_index (node->peers, FtPeerView, i);
+    if (view->refused == 0 && view->answered_at > 0
+        && now - view->answered_at < (gint64) (FT_MESH_WITNESS_S * FT_SECOND))
+      return TRUE;
+  }
+  return FALSE;
+}
+
 static void
 on_beat (guint status, const json_t *body, gpointer data)
 {
@@ -22,6 +35,7 @@
   (void) body;
   view->in_flight = FALSE;
   if (status != 0 || now - view->sent_at > (gint64) (FT_MESH_REFUSED_S * FT_SECOND)) {
+    view->answered_at = status != 0 ? now : view->answered_at;
     view->refused = 0; /* answered, or silent: a cut does not refuse */
     return;
   }
@@ -29,7 +43,7 @@
   node->next_mesh = MIN (node->next_mesh, now + (gint64) (FT_MESH_AGAIN_S * FT_SECOND));
   /* Refused again and again, and silent itself: most likely its process ended. */
   if (view->refused >= FT_MESH_REFUSALS && now - view->heard_at > (gint64) (FT_MESH_EVERY_S * FT_SECOND))
-    ft_lease_suspect (node->lease, view->peer->member, now);
+    ft_lease_suspect (node->lease, view->peer->member, mesh_works (node, now), now);
 }
 
 static void
--- a/src/net/node.c
+++ b/src/net/node.c
@@ -196,6 +196,10 @@
 {
   FtNode *node = data;
   gint64 now = g_get_monotonic_time ();
+  gint64 late = node->last_tick > 0 ? now - node->last_tick - FT_TICK_MS * 1000 : 0;
+  node->last_tick = now;
+  if (late > (gint64) (FT_LATE_TICK_S * FT_SECOND))
+    g_warning ("node %s: its timers were late by %.1f s", node->config->member, (double) late / FT_SECOND);
   lease_tick (node, now);
   catalog_tick (node, now);
   ft_mesh_tick (node, now);
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -19,6 +19,7 @@
   gint64 served_at; /* when the state service last answered it, on our clock */
   gboolean in_flight;
   gint64 sent_at;
+  gint64 answered_at; /* its last answer to a heartbeat of ours */
   guint refused; /* heartbeats in a row that were refused at once */
 } FtPeerView;
 
@@ -41,7 +42,7 @@
   gboolean sweep_in_flight, renew_in_flight, batch_in_flight, list_in_flight, catalog_in_flight, watch_in_flight;
   guint directs, cloud_calls;
   guint64 watch_since;
-  gint64 last_watch;
+  gint64 last_watch, last_tick;
   gint64 next_scheduler_tick, next_list, next_catalog, next_mesh, next_batch, next_watch;
   gint64 led_since;
   FtBudget cloud_budget;
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -261,6 +261,8 @@
   Time now = 0;
   GRand *random;
   double loss = 0.002, late = 0.002, wrong_suspicion = 0.0005;
+  bool peers_refuse = false; // controllers refuse each other's connections
+  guint takeovers = 0;
   double copies = 0;        // share of reports and commands of which a copy comes late
   guint most_machines = 14; // that the cloud has
   Time worker_step = kSecond / 10;
--- a/tests/test_random_runs.cpp
+++ b/tests/test_random_runs.cpp
@@ -268,6 +268,27 @@
   day.finish ();
 }
 
+// A live leader stays the leader, for all that the others think of it.
+TEST_P (RandomRun, ControllersRefuseEachOther)
+{
+  Day day (GetParam () + 900);
+  day.world.wrong_suspicion = 0;
+  day.world.late = 0;
+  day.load ();
+  guint before = 0;
+  day.world.at (20 * kSecond, [&] {
+    before = day.world.takeovers;
+    day.world.peers_refuse = true;
+  });
+  day.world.at (60 * kSecond, [&] {
+    EXPECT_LE (day.world.takeovers, before + 1);
+    day.world.peers_refuse = false;
+  });
+  day.crash (80 * kSecond, day.world.below (3));
+  day.world.at (75 * kSecond, [&] { day.world.peers_refuse = true; });
+  day.finish ();
+}
+
 TEST_P (RandomRun, BackWithinAFractionOfASecond)
 {
   Day day (GetParam () + 800);
