--- a/src/net/http.h
+++ b/src/net/http.h
@@ -23,6 +23,9 @@
                                   GError **error);
 void ft_http_server_free (FtHttpServer *server);
 guint ft_http_server_connections (const FtHttpServer *server);
+/* Number of the server's round: requests of one round are handled without the main
+ * loop in between. */
+guint ft_http_server_turn (const FtHttpServer *server);
 
 const char *ft_http_method (const FtHttpRequest *request);
 const char *ft_http_path (const FtHttpRequest *request);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -14,7 +14,7 @@
   FtBodyKind kind;
   FtHttpHandler handler;
   gpointer data;
-  guint most, connections;
+  guint most, connections, turn;
   guint source, again;
   GHashTable *waiting; /* requests whose handler has not answered yet */
 };
@@ -220,6 +220,7 @@
 serve (FtHttpServer *server)
 {
   MHD_UNSIGNED_LONG_LONG left;
+  server->turn++;
   MHD_run (server->daemon);
   /* Work may be left that no event will tell of. */
   if (MHD_get_timeout (server->daemon, &left) == MHD_YES)
@@ -327,3 +328,9 @@
 {
   return server->connections;
 }
+
+guint
+ft_http_server_turn (const FtHttpServer *server)
+{
+  return server->turn;
+}
--- a/src/net/node.c
+++ b/src/net/node.c
@@ -238,6 +238,7 @@
   node->polls = ft_polls_new (node);
   node->finals = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_queue_init (&node->final_order);
+  g_queue_init (&node->reports);
   guint most = (guint) (config->max_connections * FT_SOCKET_SHARE) - FT_CONNECTIONS_PER_HOST;
   node->front = ft_http_server_new (config->listen, FT_BODY_CBOR, most, ft_front_handle, node, error);
   if (node->front != NULL)
@@ -261,6 +262,7 @@
   if (node->timer != 0)
     g_source_remove (node->timer);
   ft_http_server_free (node->front);
+  ft_worker_refuse_all (node);
   ft_http_server_free (node->mesh_server);
   ft_leader_end (node);
   ft_state_free (node->state);
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -20,7 +20,7 @@
   gboolean in_flight;
   gint64 sent_at;
   gint64 answered_at; /* its last answer to a heartbeat of ours */
-  guint refused; /* heartbeats in a row that were refused at once */
+  guint refused;      /* heartbeats in a row that were refused at once */
 } FtPeerView;
 
 struct _FtNode {
@@ -47,6 +47,9 @@
   gint64 led_since;
   FtBudget cloud_budget;
 
+  GQueue reports; /* requests of workers that wait for a later turn */
+  guint reports_source, reports_turn, reports_in_turn;
+
   GArray *peers;     /* FtPeerView */
   char *mesh_leader; /* as the mesh has it */
   guint64 mesh_token;
@@ -83,6 +86,7 @@
 /* user_api.c, worker_endpoint.c */
 void ft_front_handle (FtHttpRequest *request, gpointer node);
 void ft_user_handle (FtNode *node, FtHttpRequest *request);
+void ft_worker_refuse_all (FtNode *node);
 void ft_worker_report (FtNode *node, FtHttpRequest *request);
 gboolean ft_node_ready (const FtNode *node, gint64 now);
 
