--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -235,6 +235,8 @@
 #define FT_TEXT_MOST 128
 
 /* ---- wire and net ---- */
+/* Largest amount accepted, far above any machine or run time. */
+#define FT_AMOUNT_MOST 1e9
 /* Largest request body in bytes (protocol). */
 #define FT_BODY_MOST 65536
 /* Deepest nesting accepted in a message. */
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -33,6 +33,8 @@
 const char *ft_http_query (const FtHttpRequest *request);
 /* The decoded body; NULL if it is malformed, too large or missing. Borrowed. */
 const json_t *ft_http_body (FtHttpRequest *request);
+/* The body as it came; NULL if it is too large. Borrowed. */
+const guint8 *ft_http_raw (const FtHttpRequest *request, gsize *size);
 /* Takes `body` (may be NULL) and frees the request. */
 void ft_http_respond (FtHttpRequest *request, guint status, json_t *body);
 /* 503 with Retry-After, at once. */
@@ -44,9 +46,14 @@
  * malformed. Borrowed for the call. */
 typedef void (*FtHttpDone) (guint status, const json_t *body, gpointer data);
 
+/* The same with the answer's body as it came, for a decoder of its own. */
+typedef void (*FtHttpRawDone) (guint status, const guint8 *body, gsize size, gpointer data);
+
 FtHttpClient *ft_http_client_new (guint per_host, guint most);
 void ft_http_client_free (FtHttpClient *client);
 /* `body` may be NULL and stays the caller's. `once`: the request must not be
  * sent again by the library, so it gets a connection of its own. */
 void ft_http_send (FtHttpClient *client, const char *method, const char *addr, const char *path, FtBodyKind kind,
                    const json_t *body, double timeout_s, gboolean once, FtHttpDone done, gpointer data);
+void ft_http_send_raw (FtHttpClient *client, const char *method, const char *addr, const char *path, FtBodyKind kind,
+                       const json_t *body, double timeout_s, gboolean once, FtHttpRawDone done, gpointer data);
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -53,6 +53,7 @@
   GBytes *body;
   GByteArray *answer;
   FtHttpDone done;
+  FtHttpRawDone raw_done; /* instead of `done` */
   gpointer data;
 } Call;
 
@@ -80,9 +81,13 @@
     curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
   curl_multi_remove_handle (call->client->multi, call->easy);
   g_hash_table_remove (call->client->calls, call);
-  json_t *body = status != 0 ? ft_http_decode (call->kind, call->answer->data, call->answer->len) : NULL;
-  call->done ((guint) status, body, call->data);
-  json_decref (body);
+  if (call->raw_done != NULL) {
+    call->raw_done ((guint) status, call->answer->data, call->answer->len, call->data);
+  } else {
+    json_t *body = status != 0 ? ft_http_decode (call->kind, call->answer->data, call->answer->len) : NULL;
+    call->done ((guint) status, body, call->data);
+    json_decref (body);
+  }
   call_free (call);
 }
 
@@ -251,9 +256,9 @@
   curl_easy_setopt (easy, CURLOPT_POSTFIELDS, data);
 }
 
-void
-ft_http_send (FtHttpClient *client, const char *method, const char *addr, const char *path, FtBodyKind kind,
-              const json_t *body, double timeout_s, gboolean once, FtHttpDone done, gpointer data)
+static void
+send_call (FtHttpClient *client, const char *method, const char *addr, const char *path, FtBodyKind kind,
+           const json_t *body, double timeout_s, gboolean once, FtHttpDone done, FtHttpRawDone raw_done, gpointer data)
 {
   g_autofree char *uri = g_strconcat ("http://", addr, path, NULL);
   Call *call = g_new0 (Call, 1);
@@ -261,6 +266,7 @@
   call->kind = kind;
   call->answer = g_byte_array_new ();
   call->done = done;
+  call->raw_done = raw_done;
   call->data = data;
   call->easy = g_queue_pop_head (&client->spare);
   if (call->easy == NULL)
@@ -271,3 +277,17 @@
   g_hash_table_add (client->calls, call);
   curl_multi_add_handle (client->multi, call->easy);
 }
+
+void
+ft_http_send (FtHttpClient *client, const char *method, const char *addr, const char *path, FtBodyKind kind,
+              const json_t *body, double timeout_s, gboolean once, FtHttpDone done, gpointer data)
+{
+  send_call (client, method, addr, path, kind, body, timeout_s, once, done, NULL, data);
+}
+
+void
+ft_http_send_raw (FtHttpClient *client, const char *method, const char *addr, const char *path, FtBodyKind kind,
+                  const json_t *body, double timeout_s, gboolean once, FtHttpRawDone done, gpointer data)
+{
+  send_call (client, method, addr, path, kind, body, timeout_s, once, NULL, done, data);
+}
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -167,6 +167,13 @@
   return request->body;
 }
 
+const guint8 *
+ft_http_raw (const FtHttpRequest *request, gsize *size)
+{
+  *size = request->raw->len;
+  return request->total <= FT_BODY_MOST ? request->raw->data : NULL;
+}
+
 static struct MHD_Response *
 response_new (FtHttpServer *server, const json_t *body)
 {
--- a/src/net/leader.c
+++ b/src/net/leader.c
@@ -384,14 +384,14 @@
 /* ---- direct commands ---- */
 
 static void
-on_direct (guint status, const json_t *body, gpointer data)
+on_direct (guint status, const guint8 *body, gsize size, gpointer data)
 {
   g_autoptr (Call) call = data;
   FtNode *node = call->node;
   if (stale (call))
     return;
   node->directs--;
-  g_autoptr (FtReport) report = status == 200 || status == 409 ? ft_message_report (body) : NULL;
+  g_autoptr (FtReport) report = status == 200 || status == 409 ? ft_message_report_read (body, size) : NULL;
   FtDirectResult result = status == 200 && report != NULL   ? FT_DIRECT_OK
                           : status == 409 && report != NULL ? FT_DIRECT_CONFLICT
                                                             : FT_DIRECT_UNANSWERED;
@@ -417,8 +417,8 @@
     call->direct = direct;
     json_t *body = ft_message_commands (ft_lease_token (node->lease), direct->session, direct->commands);
     node->directs++;
-    ft_http_send (node->workers, "POST", direct->addr, "/commands", FT_BODY_CBOR, body, FT_COMMAND_TIMEOUT_S, TRUE,
-                  on_direct, call);
+    ft_http_send_raw (node->workers, "POST", direct->addr, "/commands", FT_BODY_CBOR, body, FT_COMMAND_TIMEOUT_S, TRUE,
+                      on_direct, call);
     json_decref (body);
   }
 }
--- a/src/net/worker_endpoint.c
+++ b/src/net/worker_endpoint.c
@@ -30,7 +30,9 @@
     redirect (node, request);
     return;
   }
-  g_autoptr (FtReport) report = ft_message_report (ft_http_body (request));
+  gsize size;
+  const guint8 *body = ft_http_raw (request, &size);
+  g_autoptr (FtReport) report = body != NULL ? ft_message_report_read (body, size) : NULL;
   if (report == NULL) {
     ft_http_respond (request, 400, NULL);
     return;
--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -5,9 +5,6 @@
 #include "core/constants.h"
 #include "wire/fields.h"
 
-/* Largest amount accepted, far above any machine or run time. */
-#define AMOUNT_MOST 1e9
-
 gboolean
 ft_ref_valid (const char *ref)
 {
@@ -60,14 +57,14 @@
 static gboolean
 read_amounts (const json_t *body, FtJobSpec *spec)
 {
-  return ft_field_amount (body, "cores", 0, AMOUNT_MOST, &spec->cpus)
-         && ft_field_amount (body, "cards", 0, AMOUNT_MOST, &spec->gpus)
-         && ft_field_amount (body, "mem_gb", 0, AMOUNT_MOST, &spec->memory_gb)
-         && ft_field_amount (body, "pull_gb", 0, AMOUNT_MOST, &spec->image_gb)
-         && ft_field_amount (body, "guess_s", 0, AMOUNT_MOST, &spec->estimate_s)
-         && ft_field_amount (body, "bookmark_s", 0, AMOUNT_MOST, &spec->checkpoint_s)
-         && ft_field_amount (body, "shelve_s", 0, AMOUNT_MOST, &spec->save_s)
-         && (ft_field_is_null (body, "due_s") || ft_field_amount (body, "due_s", 0, AMOUNT_MOST, &spec->deadline_s));
+  return ft_field_amount (body, "cores", 0, FT_AMOUNT_MOST, &spec->cpus)
+         && ft_field_amount (body, "cards", 0, FT_AMOUNT_MOST, &spec->gpus)
+         && ft_field_amount (body, "mem_gb", 0, FT_AMOUNT_MOST, &spec->memory_gb)
+         && ft_field_amount (body, "pull_gb", 0, FT_AMOUNT_MOST, &spec->image_gb)
+         && ft_field_amount (body, "guess_s", 0, FT_AMOUNT_MOST, &spec->estimate_s)
+         && ft_field_amount (body, "bookmark_s", 0, FT_AMOUNT_MOST, &spec->checkpoint_s)
+         && ft_field_amount (body, "shelve_s", 0, FT_AMOUNT_MOST, &spec->save_s)
+         && (ft_field_is_null (body, "due_s") || ft_field_amount (body, "due_s", 0, FT_AMOUNT_MOST, &spec->deadline_s));
 }
 
 FtJobSpec *
@@ -95,10 +92,9 @@
 }
 
 /* "req-000412/3" */
-static gboolean
-read_task_name (const json_t *item, FtReportedTask *task)
+gboolean
+ft_message_task_name (const char *name, FtReportedTask *task)
 {
-  const char *name = json_string_value (json_object_get (item, "piece"));
   const char *slash = name != NULL ? strrchr (name, '/') : NULL;
   guint64 index;
   if (slash == NULL || !g_ascii_string_to_unsigned (slash + 1, 10, 0, FT_JOB_TASKS_MOST, &index, NULL))
@@ -111,30 +107,43 @@
   return TRUE;
 }
 
-static gboolean
-read_task_state (const json_t *item, FtReportedTask *task)
+/* The place of a text that need not end in a zero among others; their number if it is
+ * none of them. */
+static guint
+place_of (const char *text, gsize size, const char *const *all, guint n)
+{
+  guint i = 0;
+  while (i < n && (strlen (all[i]) != size || memcmp (all[i], text, size) != 0))
+    i++;
+  return i;
+}
+
+gboolean
+ft_message_task_state (const char *state, gsize state_size, const char *cause, gsize cause_size, FtReportedTask *task)
 {
   static const char *const states[] = { "fetching", "waiting", "running", "flushing", "exited" };
   static const char *const causes[]
       = { "", "done", "halted", "error", "no_room", "in_use", "no_such", "peers", "incomplete" };
-  const char *state = json_string_value (json_object_get (item, "standing"));
-  const char *cause = json_string_value (json_object_get (item, "cause"));
-  guint i;
-  for (i = 0; i < G_N_ELEMENTS (states) && g_strcmp0 (state, states[i]) != 0; i++)
-    ;
+  guint i = state != NULL ? place_of (state, state_size, states, G_N_ELEMENTS (states)) : G_N_ELEMENTS (states);
   if (i == G_N_ELEMENTS (states))
     return FALSE;
   task->state = (FtReportedState) i;
   if (task->state != FT_REPORTED_EXITED)
     return TRUE;
   /* A cause we do not know is a failure like any other. */
-  task->why = FT_WHY_ERROR;
-  for (i = 1; i < G_N_ELEMENTS (causes); i++)
-    if (g_strcmp0 (cause, causes[i]) == 0)
-      task->why = (FtWhy) i;
+  i = cause != NULL ? place_of (cause, cause_size, causes, G_N_ELEMENTS (causes)) : 0;
+  task->why = i > 0 && i < G_N_ELEMENTS (causes) ? (FtWhy) i : FT_WHY_ERROR;
   return TRUE;
 }
 
+static gboolean
+read_task_state (const json_t *item, FtReportedTask *task)
+{
+  const json_t *state = json_object_get (item, "standing"), *cause = json_object_get (item, "cause");
+  return ft_message_task_state (json_string_value (state), json_string_length (state), json_string_value (cause),
+                                json_string_length (cause), task);
+}
+
 static gboolean
 read_tasks (const json_t *list, GArray *tasks)
 {
@@ -143,7 +152,7 @@
   for (size_t i = 0; i < json_array_size (list); i++) {
     const json_t *item = json_array_get (list, i);
     FtReportedTask task = { 0 };
-    if (!read_task_name (item, &task))
+    if (!ft_message_task_name (json_string_value (json_object_get (item, "piece")), &task))
       return FALSE;
     g_array_append_val (tasks, task);
     FtReportedTask *kept = &g_array_index (tasks, FtReportedTask, tasks->len - 1);
@@ -165,7 +174,7 @@
       || !ft_field_count (body, "baton", 0, G_MAXINT64, &r->token)
       || !read_tasks (json_object_get (body, "pieces"), r->tasks))
     return NULL;
-  if (!ft_field_is_null (body, "recall_s") && !ft_field_amount (body, "recall_s", 0, AMOUNT_MOST, &r->notice_s))
+  if (!ft_field_is_null (body, "recall_s") && !ft_field_amount (body, "recall_s", 0, FT_AMOUNT_MOST, &r->notice_s))
     return NULL;
   return g_steal_pointer (&r);
 }
--- a/tests/test_fuzz.cpp
+++ b/tests/test_fuzz.cpp
@@ -200,6 +200,59 @@
   json_decref (seed);
 }
 
+std::string
+text_of (const FtReport *r)
+{
+  if (r == nullptr)
+    return "none";
+  g_autofree char *head = g_strdup_printf (
+      "%s %s %s %s %d %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT " %g", r->machine, r->addr,
+      r->type, r->zone, r->spot, r->session, r->sequence, r->token, r->notice_s);
+  std::string all = head;
+  for (guint i = 0; i < r->tasks->len; i++) {
+    const FtReportedTask *t = &g_array_index (r->tasks, FtReportedTask, i);
+    all += std::string (" ") + t->job + "/" + std::to_string (t->index) + " " + std::to_string (t->attempt) + " "
+           + std::to_string (t->state) + " " + std::to_string (t->why);
+  }
+  return all;
+}
+
+// The quick way takes no other reports, and no report otherwise, than the tree does.
+void
+read_both (const guint8 *data, gsize size, int *taken)
+{
+  json_t *tree = ft_cbor_decode (data, size);
+  g_autoptr (FtReport) slow = ft_message_report (tree), quick = ft_message_report_read (data, size);
+  EXPECT_EQ (text_of (quick), text_of (slow));
+  *taken += quick != nullptr;
+  json_decref (tree);
+}
+
+TEST (Fuzz, ReportFromBytesAsFromTheTree)
+{
+  g_autoptr (GRand) random = g_rand_new_with_seed (9);
+  json_t *seed = json_loads (read_corpus ("report").c_str (), 0, nullptr);
+  json_object_set_new (seed, "recall_s", json_real (12.5));
+  GBytes *encoded = ft_cbor_encode (seed);
+  gsize size;
+  auto data = (const guint8 *) g_bytes_get_data (encoded, &size);
+  int taken = 0;
+  for (int i = 0; i < kRounds; i++) {
+    std::vector<guint8> bytes (data, data + size);
+    mutate (random, bytes);
+    read_both (bytes.data (), bytes.size (), &taken);
+    json_t *tree = json_deep_copy (seed);
+    mutate_tree (random, tree);
+    g_autoptr (GBytes) changed = ft_cbor_encode (tree);
+    read_both ((const guint8 *) g_bytes_get_data (changed, &size), g_bytes_get_size (changed), &taken);
+    size = g_bytes_get_size (encoded);
+    json_decref (tree);
+  }
+  EXPECT_GT (taken, 100);
+  g_bytes_unref (encoded);
+  json_decref (seed);
+}
+
 TEST (Fuzz, Job) { run ("job", fuzz_job); }
 TEST (Fuzz, Report) { run ("report", fuzz_report); }
 TEST (Fuzz, Catalog) { run ("catalog", fuzz_catalog); }
