--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -312,6 +312,8 @@
 #define FT_DIRECT_MOST 96
 /* Cloud calls under way at once. */
 #define FT_CLOUD_CALLS_MOST 3
+/* Events of the client's sockets taken at once. */
+#define FT_EVENTS_AT_ONCE 64
 /* Connections kept to one host by the client. */
 #define FT_CONNECTIONS_PER_HOST 12
 /* Seconds an unused client connection is kept. */
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -400,6 +400,8 @@
 in_doubt (const FtScheduler *s, FtMachine *machine)
 {
   gboolean others;
+  if (!machine->in_doubt)
+    return FALSE; /* nearly all: their attempts need no look */
   double age = doubt_age (s, machine, &others);
   if (age > FT_DOUBT_S)
     machine->faulty = TRUE; /* no more starts */
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -104,6 +104,7 @@
   gboolean faulty;
   gboolean listed_running;
   gboolean command_in_flight, return_in_flight;
+  gboolean in_doubt; /* a direct start of this session got no answer */
   guint failing_jobs;
   guint64 last_failed;          /* stamp of the job that failed here last */
   double cpus, gpus, memory_gb; /* taken by attempts not known to be over */
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -508,6 +508,7 @@
   }
   machine->session = session;
   machine->answered = 0;
+  machine->in_doubt = FALSE;
 }
 
 /* Older than what is known of the machine, or a copy from before it knew us:
@@ -775,7 +776,7 @@
       continue;
     a->direct_in_flight = FALSE;
     if (result == FT_DIRECT_UNANSWERED && a->session == direct->session)
-      a->direct_unanswered = TRUE;
+      a->direct_unanswered = machine->in_doubt = TRUE;
     /* Refused as a whole: this copy was not executed and never will be. */
     if (result == FT_DIRECT_CONFLICT && a->stop_wanted && !a->shown && a->sent_sequence == 0 && !a->exited)
       ft_attempt_over (s, a);
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -1,9 +1,12 @@
-/* The HTTP client: libcurl's multi interface, driven by the main loop. libsoup's
+/* The HTTP client: libcurl's multi interface, driven by the main loop through one epoll
+ * descriptor: a source for each socket, made anew with each of its states, cost more. libsoup's
  * client takes several times as much for a request on a connection of its own, and
  * a takeover asks every machine once: docs/design.md has the measurement. */
 #include <curl/curl.h>
 #include <glib-unix.h>
 #include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
 
 #include "core/constants.h"
 #include "net/http.h"
@@ -42,8 +45,8 @@
   struct curl_slist *headers[FT_BODY_JSON + 1];
   GHashTable *calls; /* set of Call under way */
   GQueue spare;      /* CURL handles to use again */
-  guint timer;
-  gboolean closing;
+  guint timer, source;
+  int sockets; /* epoll descriptor of the library's sockets */
 };
 
 typedef struct {
@@ -57,12 +60,6 @@
   gpointer data;
 } Call;
 
-/* What the library watches a socket with. */
-typedef struct {
-  FtHttpClient *client;
-  guint source;
-} Watch;
-
 static void
 call_free (Call *call)
 {
@@ -106,13 +103,21 @@
   }
 }
 
+/* A socket may be closed, and its number taken again, by what is done for another one
+ * of the same round: the library bears an event too many. */
 static gboolean
-on_socket (gint fd, GIOCondition condition, gpointer data)
+on_sockets (gint fd, GIOCondition condition, gpointer data)
 {
-  FtHttpClient *client = ((Watch *) data)->client;
-  int running, events = (condition & G_IO_IN ? CURL_CSELECT_IN : 0) | (condition & G_IO_OUT ? CURL_CSELECT_OUT : 0)
-                        | (condition & (G_IO_ERR | G_IO_HUP) ? CURL_CSELECT_ERR : 0);
-  curl_multi_socket_action (client->multi, fd, events, &running);
+  FtHttpClient *client = data;
+  struct epoll_event events[FT_EVENTS_AT_ONCE];
+  (void) condition;
+  int n = epoll_wait (fd, events, G_N_ELEMENTS (events), 0), running;
+  for (int i = 0; i < n; i++) {
+    uint32_t what = events[i].events;
+    int ready = (what & EPOLLIN ? CURL_CSELECT_IN : 0) | (what & EPOLLOUT ? CURL_CSELECT_OUT : 0)
+                | (what & (EPOLLERR | EPOLLHUP) ? CURL_CSELECT_ERR : 0);
+    curl_multi_socket_action (client->multi, events[i].data.fd, ready, &running);
+  }
   take_finished (client);
   return G_SOURCE_CONTINUE;
 }
@@ -121,20 +126,17 @@
 watch_socket (CURL *easy, curl_socket_t fd, int what, void *data, void *socket_data)
 {
   FtHttpClient *client = data;
-  Watch *watch = socket_data;
+  struct epoll_event event = { .data.fd = fd };
   (void) easy;
-  if (watch != NULL)
-    g_source_remove (watch->source); /* frees it */
   if (what == CURL_POLL_REMOVE) {
-    curl_multi_assign (client->multi, fd, NULL);
+    epoll_ctl (client->sockets, EPOLL_CTL_DEL, fd, &event);
     return 0;
   }
-  watch = g_new0 (Watch, 1);
-  watch->client = client;
-  GIOCondition condition = (what & CURL_POLL_IN ? G_IO_IN : 0) | (what & CURL_POLL_OUT ? G_IO_OUT : 0);
-  watch->source = g_unix_fd_add_full (G_PRIORITY_DEFAULT, fd, condition, on_socket, watch, g_free);
-  curl_multi_assign (client->multi, fd, watch);
-  return 0;
+  event.events = (what & CURL_POLL_IN ? EPOLLIN : 0u) | (what & CURL_POLL_OUT ? EPOLLOUT : 0u);
+  if (socket_data != NULL && epoll_ctl (client->sockets, EPOLL_CTL_MOD, fd, &event) == 0)
+    return 0;
+  curl_multi_assign (client->multi, fd, client); /* known from now on */
+  return epoll_ctl (client->sockets, EPOLL_CTL_ADD, fd, &event);
 }
 
 static gboolean
@@ -184,6 +186,8 @@
   client->multi = curl_multi_init ();
   client->calls = g_hash_table_new (g_direct_hash, g_direct_equal);
   g_queue_init (&client->spare);
+  client->sockets = epoll_create1 (EPOLL_CLOEXEC);
+  client->source = g_unix_fd_add (client->sockets, G_IO_IN, on_sockets, client);
   for (int kind = 0; kind <= FT_BODY_JSON; kind++)
     client->headers[kind] = header_list ((FtBodyKind) kind);
   curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
@@ -212,6 +216,8 @@
   while ((easy = g_queue_pop_head (&client->spare)) != NULL)
     curl_easy_cleanup (easy);
   curl_multi_cleanup (client->multi);
+  g_source_remove (client->source);
+  close (client->sockets);
   if (client->timer != 0)
     g_source_remove (client->timer);
   for (int kind = 0; kind <= FT_BODY_JSON; kind++)
