--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -32,6 +32,12 @@
 /* Seconds without any report, beyond the longest ordinary gap, after which a
  * leader takes itself for cut off from the workers and gives the lease up. */
 #define FT_CUT_OFF_MARGIN_S 1.5
+/* Seconds of reports that wait too long after which a leader takes itself for too slow;
+ * seconds it must have led by then, since a takeover is busy and its successor may be no
+ * quicker; and seconds for which it tells its peers that it has given up. */
+#define FT_OVERRUN_S 4.0
+#define FT_OVERRUN_LED_S 45.0
+#define FT_YIELD_TOLD_S 3.0
 /* Seconds a controller that gave the lease up leaves it to others. */
 #define FT_ABSTAIN_S 20.0
 
--- a/src/net/front.c
+++ b/src/net/front.c
@@ -4,6 +4,26 @@
 #include "core/constants.h"
 #include "net/node.h"
 
+static gboolean
+peer_fresh (const FtPeerView *view, gint64 now)
+{
+  return view->heard_at > 0 && now - view->heard_at <= (gint64) (FT_MESH_FRESH_S * FT_SECOND);
+}
+
+gboolean
+ft_node_alone_unserved (const FtNode *node, gint64 now)
+{
+  gint64 lost = ft_state_failing_since (node->state) + (gint64) (FT_READY_MARGIN_S * FT_SECOND);
+  if (ft_state_contact (node->state, now))
+    return FALSE;
+  for (guint i = 0; i < node->peers->len; i++) {
+    const FtPeerView *view = &g_array_index (node->peers, FtPeerView, i);
+    if (peer_fresh (view, now) && view->served_at > lost)
+      return TRUE;
+  }
+  return FALSE;
+}
+
 /* A node that cannot reach the state service is ready all the same while no
  * peer can either: it answers 503 at once, and an outage of the service does
  * not make the balancer shun every node for a growing pause. */
@@ -12,17 +32,11 @@
 {
   if (ft_state_contact (node->state, now))
     return TRUE;
+  if (ft_node_alone_unserved (node, now))
+    return FALSE;
   gboolean heard = FALSE;
-  gint64 lost = ft_state_failing_since (node->state) + (gint64) (FT_READY_MARGIN_S * FT_SECOND);
-  for (guint i = 0; i < node->peers->len; i++) {
-    const FtPeerView *view = &g_array_index (node->peers, FtPeerView, i);
-    if (view->heard_at == 0 || now - view->heard_at > (gint64) (FT_MESH_FRESH_S * FT_SECOND))
-      continue;
-    heard = TRUE;
-    /* Served since we are not: the trouble is ours alone. */
-    if (view->served_at > lost)
-      return FALSE;
-  }
+  for (guint i = 0; i < node->peers->len; i++)
+    heard |= peer_fresh (&g_array_index (node->peers, FtPeerView, i), now);
   return heard && ft_state_last_served (node->state) > 0;
 }
 
--- a/src/net/leader.c
+++ b/src/net/leader.c
@@ -524,6 +524,7 @@
   node->term++;
   node->batch_in_flight = node->renew_in_flight = node->watch_in_flight = node->list_in_flight = FALSE;
   node->directs = node->cloud_calls = 0;
+  node->overrun_since = 0;
   node->next_batch = node->next_watch = 0;
   g_clear_pointer (&node->scheduler, ft_scheduler_free);
   ft_state_set_share (node->state, FT_FOLLOWER_SHARE);
--- a/src/net/mesh.c
+++ b/src/net/mesh.c
@@ -67,6 +67,8 @@
   json_t *body = json_pack ("{s:s}", "member", node->config->member);
   if (served > 0)
     json_object_set_new (body, "served_ms_ago", json_integer ((now - served) / 1000));
+  if (node->yielded_at > 0 && now - node->yielded_at < (gint64) (FT_YIELD_TOLD_S * FT_SECOND))
+    json_object_set_new (body, "yields", json_true ());
   if (node->scheduler == NULL)
     return body;
   json_t *jobs = json_object ();
@@ -134,6 +136,8 @@
       view->served_at = view->heard_at - (gint64) age_ms * 1000;
     if (ft_field_count (body, "token", 1, G_MAXINT32, &token))
       take_summary (node, member, token, json_object_get (body, "jobs"));
+    if (json_is_true (json_object_get (body, "yields")))
+      ft_lease_suspect (node->lease, member, TRUE, view->heard_at);
     ft_http_respond (request, 200, json_object ());
     return;
   }
--- a/src/net/node.c
+++ b/src/net/node.c
@@ -137,10 +137,46 @@
   gint64 gap = (gint64) ((s->report_s * FT_REPORT_GAP + FT_CUT_OFF_MARGIN_S) * FT_SECOND);
   if (now - node->led_since < (gint64) (FT_CUT_OFF_GRACE_S * FT_SECOND))
     return FALSE;
-  gint64 heard = MAX (node->led_since, ft_scheduler_last_heard (node->scheduler));
+  /* What we did not take in while we stood still proves nothing. */
+  gint64 since = MAX (node->led_since, node->on_time_since);
+  gint64 heard = MAX (since, ft_scheduler_last_heard (node->scheduler));
   return node->config->peers->len > 0 && now - heard > gap && ft_scheduler_up (node->scheduler) >= FT_CUT_OFF_MACHINES;
 }
 
+/* A controller that computes slower than before loses the race with its workers, and
+ * another may not: but one that leads where none could keep up must not be followed by
+ * the next for that alone, hence the time it must have led. */
+static gboolean
+overrun (const FtNode *node, gint64 now)
+{
+  return node->peers->len > 0 && node->overrun_since > 0
+         && now - node->overrun_since > (gint64) (FT_OVERRUN_S * FT_SECOND)
+         && now - node->led_since > (gint64) (FT_OVERRUN_LED_S * FT_SECOND);
+}
+
+/* Why somebody else should lead; NULL: no reason known. */
+static const char *
+why_yield (const FtNode *node, gint64 now)
+{
+  if (ft_lease_may_start (node->lease, now) && cut_off (node, now))
+    return "hears from no worker";
+  if (ft_lease_may_start (node->lease, now) && overrun (node, now))
+    return "cannot keep up with its workers";
+  return ft_node_alone_unserved (node, now) ? "cannot reach the state service, which others reach" : NULL;
+}
+
+/* The peers are told as well, and look at once: a hint like any other. */
+static void
+yield (FtNode *node, gint64 now, const char *why)
+{
+  g_warning ("node %s: %s, gives the lease up", node->config->member, why);
+  if (ft_lease_may_start (node->lease, now))
+    renew (node, TRUE, on_released);
+  ft_lease_released (node->lease, now);
+  ft_leader_end (node);
+  node->yielded_at = node->next_mesh = now;
+}
+
 static void
 lease_tick (FtNode *node, gint64 now)
 {
@@ -156,12 +192,9 @@
     ft_lease_renew_sent (node->lease, now);
     renew (node, FALSE, on_renewed);
   }
-  if (node->scheduler != NULL && ft_lease_may_start (node->lease, now) && cut_off (node, now)) {
-    renew (node, TRUE, on_released);
-    g_warning ("node %s: hears from no worker, gives the lease up", node->config->member);
-    ft_lease_released (node->lease, now);
-    ft_leader_end (node);
-  }
+  const char *why = node->scheduler != NULL ? why_yield (node, now) : NULL;
+  if (why != NULL)
+    yield (node, now, why);
 }
 
 /* ---- the catalog ---- */
@@ -198,8 +231,10 @@
   gint64 now = g_get_monotonic_time ();
   gint64 late = node->last_tick > 0 ? now - node->last_tick - FT_TICK_MS * 1000 : 0;
   node->last_tick = now;
-  if (late > (gint64) (FT_LATE_TICK_S * FT_SECOND))
+  if (late > (gint64) (FT_LATE_TICK_S * FT_SECOND)) {
+    node->on_time_since = now;
     g_warning ("node %s: its timers were late by %.1f s", node->config->member, (double) late / FT_SECOND);
+  }
   lease_tick (node, now);
   catalog_tick (node, now);
   ft_mesh_tick (node, now);
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -45,6 +45,9 @@
   gint64 last_watch, last_tick;
   gint64 next_scheduler_tick, next_list, next_catalog, next_mesh, next_batch, next_watch;
   gint64 led_since;
+  gint64 on_time_since; /* our timers were late until then */
+  gint64 overrun_since; /* reports wait too long since then; 0: they do not */
+  gint64 yielded_at;    /* when we gave the lease up; 0: never */
   FtBudget cloud_budget;
 
   GQueue reports; /* requests of workers that wait for a later turn */
@@ -72,6 +75,8 @@
 
 /* Moves on whatever can move: placement, commands, commits, cloud calls. */
 void ft_node_pump (FtNode *node);
+/* The state service answers a peer, but not us. */
+gboolean ft_node_alone_unserved (const FtNode *node, gint64 now);
 /* We are leader no more. */
 void ft_node_step_down (FtNode *node, const char *why);
 /* Who leads, as far as this node knows; borrowed, or NULL. */
--- a/src/net/worker_endpoint.c
+++ b/src/net/worker_endpoint.c
@@ -67,8 +67,10 @@
   Waiting *waiting;
   for (guint served = 0; served < FT_REPORTS_AT_ONCE && (waiting = g_queue_pop_head (&node->reports)) != NULL;) {
     g_autofree Waiting *owned = waiting;
-    if (g_get_monotonic_time () - owned->came_at > old) {
+    gint64 now = g_get_monotonic_time ();
+    if (now - owned->came_at > old) {
       ft_metrics_count (node->metrics, FT_COUNT_REPORTS_REFUSED);
+      node->overrun_since = node->overrun_since > 0 ? node->overrun_since : now;
       ft_http_unavailable (owned->request);
     } else {
       serve (node, owned->request);
@@ -78,6 +80,7 @@
   if (!g_queue_is_empty (&node->reports))
     return G_SOURCE_CONTINUE;
   node->reports_source = 0;
+  node->overrun_since = 0;
   return G_SOURCE_REMOVE;
 }
 
