--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -86,6 +86,9 @@
 #define FT_SILENCE_MARGIN_S 2.0
 /* Seconds between two probes of a machine not heard since the takeover. */
 #define FT_PROBE_EVERY_S 1.0
+/* Seconds after a takeover, or after an answer, until a machine that is not accounted for
+ * is probed: most report by themselves meanwhile, at a third of the cost. */
+#define FT_PROBE_FIRST_S 1.5
 /* Seconds beyond the longest ordinary gap after which a report is overdue. */
 #define FT_OVERDUE_MARGIN_S 1.0
 /* Longest pause between probes of a machine that does not answer, in doublings of the
@@ -313,7 +316,7 @@
 /* Reports handled without a look at the timers, and seconds after which one that waited
  * is refused: its worker gives up after four, and the answer would be in vain. */
 #define FT_REPORTS_AT_ONCE 32
-#define FT_REPORT_OLD_S 2.5
+#define FT_REPORT_OLD_S 3.5
 /* Direct commands under way at once. */
 #define FT_DIRECT_MOST 96
 /* Cloud calls under way at once. */
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -625,6 +625,9 @@
   if (machine == NULL)
     return commands;
   machine->last_answer = now;
+  /* It shows our token in its next report, in half a second. */
+  if (!machine->accounted)
+    machine->probe_at = MAX (machine->probe_at, now + seconds (FT_PROBE_FIRST_S));
   if (report->session != machine->session || report->sequence != machine->sequence || report->token < s->token
       || machine->session <= machine->lapsed_session) {
     if (report->session == machine->session)
@@ -840,7 +843,8 @@
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     FtMachine *machine = value;
-    machine->last_report = now;                             /* silence counts from here */
+    machine->last_report = now; /* silence counts from here */
+    machine->probe_at = now + seconds (FT_PROBE_FIRST_S);
     machine->last_answer = MAX (machine->last_answer, now); /* it may have been answered while we read */
     if (machine->state == FT_MACHINE_BOOTING && machine->in_roster)
       ft_machine_set_state (machine, FT_MACHINE_UP);
--- a/src/net/front.c
+++ b/src/net/front.c
@@ -11,19 +11,23 @@
 }
 
 gboolean
-ft_node_alone_unserved (const FtNode *node, gint64 now)
+ft_node_peer_served (const FtNode *node, gint64 after, gint64 now)
 {
-  gint64 lost = ft_state_failing_since (node->state) + (gint64) (FT_READY_MARGIN_S * FT_SECOND);
-  if (ft_state_contact (node->state, now))
-    return FALSE;
   for (guint i = 0; i < node->peers->len; i++) {
     const FtPeerView *view = &g_array_index (node->peers, FtPeerView, i);
-    if (peer_fresh (view, now) && view->served_at > lost)
+    if (peer_fresh (view, now) && view->served_at > after)
       return TRUE;
   }
   return FALSE;
 }
 
+gboolean
+ft_node_alone_unserved (const FtNode *node, gint64 now)
+{
+  gint64 lost = ft_state_failing_since (node->state) + (gint64) (FT_READY_MARGIN_S * FT_SECOND);
+  return !ft_state_contact (node->state, now) && ft_node_peer_served (node, lost, now);
+}
+
 /* A node that cannot reach the state service is ready all the same while no
  * peer can either: it answers 503 at once, and an outage of the service does
  * not make the balancer shun every node for a growing pause. */
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -37,6 +37,8 @@
 const guint8 *ft_http_raw (const FtHttpRequest *request, gsize *size);
 /* Takes `body` (may be NULL) and frees the request. */
 void ft_http_respond (FtHttpRequest *request, guint status, json_t *body);
+/* The connection ends with the answer. */
+void ft_http_close (FtHttpRequest *request);
 /* 503 with Retry-After, at once. */
 void ft_http_unavailable (FtHttpRequest *request);
 
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -28,6 +28,7 @@
   gsize total;
   json_t *body;
   gboolean read;      /* the body has been decoded */
+  gboolean close;     /* the connection ends with the answer */
   gboolean suspended; /* the handler has returned without an answer */
   guint status;
   struct MHD_Response *response;
@@ -205,7 +206,7 @@
     g_snprintf (after, sizeof after, "%d", FT_RETRY_AFTER_S);
     MHD_add_response_header (request->response, MHD_HTTP_HEADER_RETRY_AFTER, after);
   }
-  if (server->connections > server->most)
+  if (request->close || server->connections > server->most)
     MHD_add_response_header (request->response, MHD_HTTP_HEADER_CONNECTION, "close");
   if (request->suspended) {
     request->suspended = FALSE;
@@ -215,6 +216,12 @@
   }
 }
 
+void
+ft_http_close (FtHttpRequest *request)
+{
+  request->close = TRUE;
+}
+
 void
 ft_http_unavailable (FtHttpRequest *request)
 {
--- a/src/net/node.c
+++ b/src/net/node.c
@@ -145,11 +145,12 @@
 
 /* A controller that computes slower than before loses the race with its workers, and
  * another may not: but one that leads where none could keep up must not be followed by
- * the next for that alone, hence the time it must have led. */
+ * the next for that alone, hence the time it must have led; and nobody is left to lead
+ * where the others are cut off. */
 static gboolean
 overrun (const FtNode *node, gint64 now)
 {
-  return node->peers->len > 0 && node->overrun_since > 0
+  return node->overrun_since > 0 && ft_node_peer_served (node, now - (gint64) (FT_MESH_FRESH_S * FT_SECOND), now)
          && now - node->overrun_since > (gint64) (FT_OVERRUN_S * FT_SECOND)
          && now - node->led_since > (gint64) (FT_OVERRUN_LED_S * FT_SECOND);
 }
@@ -162,7 +163,10 @@
     return "hears from no worker";
   if (ft_lease_may_start (node->lease, now) && overrun (node, now))
     return "cannot keep up with its workers";
-  return ft_node_alone_unserved (node, now) ? "cannot reach the state service, which others reach" : NULL;
+  /* Answers that were waited for while we were busy ourselves are no sign of a cut. */
+  gint64 steady = MAX (node->led_since, node->on_time_since) + (gint64) (FT_CUT_OFF_GRACE_S * FT_SECOND);
+  return now > steady && ft_node_alone_unserved (node, now) ? "cannot reach the state service, which others reach"
+                                                            : NULL;
 }
 
 /* The peers are told as well, and look at once: a hint like any other. */
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -75,6 +75,8 @@
 
 /* Moves on whatever can move: placement, commands, commits, cloud calls. */
 void ft_node_pump (FtNode *node);
+/* A peer that is heard was answered by the state service after that time. */
+gboolean ft_node_peer_served (const FtNode *node, gint64 after, gint64 now);
 /* The state service answers a peer, but not us. */
 gboolean ft_node_alone_unserved (const FtNode *node, gint64 now);
 /* We are leader no more. */
--- a/src/net/worker_endpoint.c
+++ b/src/net/worker_endpoint.c
@@ -12,6 +12,7 @@
   if (g_strcmp0 (holder, node->config->member) == 0)
     holder = NULL;
   ft_metrics_count (node->metrics, FT_COUNT_REDIRECTS);
+  ft_http_close (request); /* it goes to another: thousands would keep theirs open here */
   ft_http_respond (request, 421, ft_message_redirect (holder));
 }
 
@@ -71,6 +72,7 @@
     if (now - owned->came_at > old) {
       ft_metrics_count (node->metrics, FT_COUNT_REPORTS_REFUSED);
       node->overrun_since = node->overrun_since > 0 ? node->overrun_since : now;
+      ft_http_close (owned->request);
       ft_http_unavailable (owned->request);
     } else {
       serve (node, owned->request);
