--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -313,10 +313,10 @@
 #define FT_TICK_MS 100
 /* Seconds between two ticks of the scheduler. */
 #define FT_SCHEDULER_TICK_S 0.5
-/* Reports handled without a look at the timers, and seconds after which one that waited
- * is refused: its worker gives up after four, and the answer would be in vain. */
+/* Reports handled without a look at the timers, and seconds of waiting from which the
+ * newest go first: a worker gives up after four, and an answer then is in vain. */
 #define FT_REPORTS_AT_ONCE 32
-#define FT_REPORT_OLD_S 3.5
+#define FT_REPORT_LATE_S 2.0
 /* Direct commands under way at once. */
 #define FT_DIRECT_MOST 96
 /* Cloud calls under way at once. */
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -938,6 +938,12 @@
     ft_placement_pass (s);
 }
 
+void
+ft_scheduler_late (FtScheduler *s, gint64 now)
+{
+  s->hearing_since = now;
+}
+
 gint64
 ft_scheduler_last_heard (const FtScheduler *s)
 {
--- a/src/net/metrics.c
+++ b/src/net/metrics.c
@@ -6,9 +6,9 @@
 #include "core/constants.h"
 
 static const char *const counter_names[FT_COUNTERS]
-    = { "submissions_accepted", "submissions_refused", "users_told_unavailable", "polls",     "withdrawals",
-        "reports_answered",     "reports_redirected",  "reports_refused",        "takeovers", "step_downs",
-        "direct_unanswered",    "batches_committed",   "batches_uncertain" };
+    = { "submissions_accepted", "submissions_refused", "users_told_unavailable", "polls",
+        "withdrawals",          "reports_answered",    "reports_redirected",     "takeovers",
+        "step_downs",           "direct_unanswered",   "batches_committed",      "batches_uncertain" };
 static const char *const timer_names[FT_TIMERS] = { "submit_ms", "batch_ms", "direct_ms", "recovery_ms" };
 
 struct _FtMetrics {
--- a/src/net/worker_endpoint.c
+++ b/src/net/worker_endpoint.c
@@ -57,27 +57,32 @@
   gint64 came_at;
 } Waiting;
 
-/* Under a backlog of all workers at once renewals and probes of the balancer would
- * come seconds late, and answers too late for everybody: a turn takes a few reports,
- * and what has waited too long is refused unread. */
+static gboolean
+backlog_is_old (FtNode *node, gint64 now)
+{
+  const Waiting *oldest = g_queue_peek_head (&node->reports);
+  return oldest != NULL && now - oldest->came_at > (gint64) (FT_REPORT_LATE_S * FT_SECOND);
+}
+
+/* Under a backlog of all workers at once renewals and probes of the balancer would come
+ * seconds late: a turn takes a few reports. If they wait for long the newest go first,
+ * so that some workers are answered in time instead of none; the old ones are taken in
+ * all the same, or their machines would be missed and given back. */
 static gboolean
 on_reports (gpointer data)
 {
   FtNode *node = data;
-  gint64 old = (gint64) (FT_REPORT_OLD_S * FT_SECOND);
-  Waiting *waiting;
-  for (guint served = 0; served < FT_REPORTS_AT_ONCE && (waiting = g_queue_pop_head (&node->reports)) != NULL;) {
-    g_autofree Waiting *owned = waiting;
-    gint64 now = g_get_monotonic_time ();
-    if (now - owned->came_at > old) {
-      ft_metrics_count (node->metrics, FT_COUNT_REPORTS_REFUSED);
-      node->overrun_since = node->overrun_since > 0 ? node->overrun_since : now;
-      ft_http_close (owned->request);
-      ft_http_unavailable (owned->request);
-    } else {
-      serve (node, owned->request);
-      served++;
-    }
+  gint64 now = g_get_monotonic_time ();
+  gboolean old = backlog_is_old (node, now);
+  if (!old)
+    node->overrun_since = 0;
+  else if (node->overrun_since == 0)
+    node->overrun_since = now;
+  if (old && node->scheduler != NULL)
+    ft_scheduler_late (node->scheduler, now);
+  for (guint i = 0; i < FT_REPORTS_AT_ONCE && !g_queue_is_empty (&node->reports); i++) {
+    g_autofree Waiting *waiting = old ? g_queue_pop_tail (&node->reports) : g_queue_pop_head (&node->reports);
+    serve (node, waiting->request);
   }
   if (!g_queue_is_empty (&node->reports))
     return G_SOURCE_CONTINUE;
