--- a/tests/sim/node.cpp
+++ b/tests/sim/node.cpp
@@ -33,6 +33,7 @@
   if (!alive)
     return;
   alive = false;
+  frozen_until = 0;
   life_++;
   term_++;
   scheduler_.reset ();
@@ -40,6 +41,18 @@
   world_.after (back_after, [this] { start (); });
 }
 
+// What the node itself does later: not before it goes on.
+void
+Node::later (Time delay, std::function<void ()> what)
+{
+  world_.after (delay, [this, what] {
+    if (world_.now < frozen_until)
+      world_.at (frozen_until, what);
+    else
+      what ();
+  });
+}
+
 // One request to the state service: it may be executed and not answered, or
 // executed late.
 void
@@ -58,7 +71,7 @@
     std::shared_ptr<json_t> body (answer.second, json_decref);
     world_.deliver ("store", name (), [finish, answer, body] { finish (answer.first, body); });
   });
-  world_.after ((Time) (FT_STATE_TIMEOUT_S * kSecond), [finish] { finish (0, nullptr); });
+  later ((Time) (FT_STATE_TIMEOUT_S * kSecond), [finish] { finish (0, nullptr); });
 }
 
 void
@@ -231,7 +244,7 @@
                    load_row (scheduler_.get (), &g_array_index (rows, FtRow, i), clock (), world_.now / 1000);
                  pump ();
                }
-               world_.after (kSecond / 4, [this, term] {
+               later (kSecond / 4, [this, term] {
                  if (term == term_)
                    watching_ = false;
                });
@@ -337,7 +350,7 @@
         ft_scheduler_job_resolved (scheduler_.get (), ref.c_str (), strcmp (state, "done") == 0, clock ());
       json_decref (row);
     } else if (status == 503) {
-      world_.after (kSecond / 5, [this, term, writes] {
+      later (kSecond / 5, [this, term, writes] {
         if (term == term_)
           batch_done (writes, false, nullptr);
       });
@@ -380,7 +393,7 @@
       guint code = status;
       world_.deliver (direct->machine, name (), [finish, code, shared] { finish (code, shared); });
     });
-    world_.after ((Time) (FT_COMMAND_TIMEOUT_S * kSecond), [finish] { finish (0, nullptr); });
+    later ((Time) (FT_COMMAND_TIMEOUT_S * kSecond), [finish] { finish (0, nullptr); });
   }
 }
 
@@ -421,7 +434,10 @@
         auto worker = std::make_shared<Worker> (world_, text, call->zone, call->spot);
         world_.machines[text] = worker;
         names.push_back (text);
-        world_.after ((Time) (world_.uniform (2, 12) * kSecond), [worker] {
+        if (world_.chance (world_.boot_fail))
+          continue; // it stays "starting" until it is deleted
+        double slow = world_.chance (world_.boot_fail) ? 3 : 1;
+        world_.after ((Time) (world_.uniform (2, 12) * slow * kSecond), [worker] {
           if (worker->alive)
             worker->boot ();
         });
@@ -438,7 +454,7 @@
       finish (result);
     });
   });
-  world_.after (5 * kSecond, [finish] { finish (FT_CLOUD_FAILED); });
+  later (5 * kSecond, [finish] { finish (FT_CLOUD_FAILED); });
 }
 
 void
@@ -462,7 +478,7 @@
     g_array_append_val (list.get (), entry);
   }
   // The list is as old as its lag when it comes.
-  world_.after ((Time) (world_.uniform (0.5, 2) * world_.settings.list_lag_s * kSecond), [this, term, list] {
+  later ((Time) (world_.uniform (0.5, 2) * world_.settings.list_lag_s * kSecond), [this, term, list] {
     if (term == term_ && scheduler_)
       ft_scheduler_listed (scheduler_.get (), list.get (), clock ());
   });
@@ -493,7 +509,7 @@
     pump ();
   }
   guint64 life = life_;
-  world_.after (kSecond / 5, [this, life] {
+  later (kSecond / 5, [this, life] {
     if (life == life_)
       tick ();
   });
@@ -564,7 +580,8 @@
   // Some node is asked; one that cannot read the store says so.
   const std::string node = "node-" + std::to_string (below (3));
   auto cut = cuts.find ({ node, "store" });
-  bool served = !store.down && nodes[node.back () - '0']->alive && (cut == cuts.end () || cut->second <= now);
+  bool served = !store.down && nodes[node.back () - '0']->alive && now >= nodes[node.back () - '0']->frozen_until
+                && (cut == cuts.end () || cut->second <= now);
   checker->asked (now, ref, served);
   if (!served)
     return;
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -457,7 +457,10 @@
   }
   after (delay, [this, to, what] {
     auto machine = machines.find (to);
-    if (machine == machines.end ()) {
+    Node *node = to.rfind ("node-", 0) == 0 ? nodes[to.back () - '0'].get () : nullptr;
+    if (node != nullptr && now < node->frozen_until) {
+      at (node->frozen_until, what);
+    } else if (machine == machines.end ()) {
       what ();
     } else if (machine->second->alive && now >= machine->second->deaf_until) {
       // A hanging machine takes its messages in when it resumes.
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -262,6 +262,7 @@
   GRand *random;
   double loss = 0.002, late = 0.002, wrong_suspicion = 0.0005;
   bool peers_refuse = false; // controllers refuse each other's connections
+  double boot_fail = 0;      // share of machines that never come up, and of those that are late
   guint takeovers = 0;
   double copies = 0;        // share of reports and commands of which a copy comes late
   guint most_machines = 14; // that the cloud has
@@ -302,12 +303,19 @@
   Node (World &world, int index);
   void start ();
   void crash (Time back_after);
+  // It stands still while its clocks run on; then everything comes at once.
+  void
+  freeze (Time until)
+  {
+    frozen_until = alive ? until : frozen_until;
+  }
   std::string
   name () const
   {
     return "node-" + std::to_string (index_);
   }
   bool alive = false;
+  Time frozen_until = 0;
   // Serves a worker's report: status, token, commands, leader to go to.
   struct Answer {
     guint status = 0;
@@ -350,6 +358,7 @@
     return offset_ + (Time) (world_.now * rate_);
   }
   void tick ();
+  void later (Time delay, std::function<void ()> what);
   void lease_tick ();
   void ask_store (std::function<std::pair<guint, json_t *> ()> what, Reply reply);
   void commit (json_t *txn, Reply reply);
--- a/tests/test_random_runs.cpp
+++ b/tests/test_random_runs.cpp
@@ -134,6 +134,26 @@
             world.cut (name, machine, until);
     });
   }
+  // A zone with its controller is cut off from all others, for longer than a lease.
+  void
+  cut_zone (Time when, Time length, const std::string &zone, int inside)
+  {
+    world.at (when, [this, length, zone, inside] {
+      Time until = world.now + length;
+      std::string in = "node-" + std::to_string (inside);
+      for (const char *service : { "store", "cloud" })
+        world.cut (in, service, until);
+      for (int i = 0; i < 3; i++)
+        for (auto &[machine, worker] : world.machines)
+          if ((worker->zone == zone) != (i == inside))
+            world.cut ("node-" + std::to_string (i), machine, until);
+    });
+  }
+  void
+  freeze (Time when, int node, Time length)
+  {
+    world.at (when, [this, node, length] { world.nodes[node]->freeze (world.now + length); });
+  }
   void
   outage (Time when, Time length)
   {
@@ -289,6 +309,42 @@
   day.finish ();
 }
 
+TEST_P (RandomRun, ControllersStandStill)
+{
+  Day day (GetParam () + 1000);
+  day.world.copies = 0.05;
+  day.load ();
+  for (int i = 0; i < 6; i++)
+    day.freeze ((Time) (day.world.uniform (10, 140) * kSecond), day.world.below (3),
+                (Time) (day.world.uniform (2, 40) * kSecond));
+  day.freeze (100 * kSecond, 0, 33 * kSecond);
+  day.freeze (101 * kSecond, 1, 33 * kSecond);
+  day.machine_trouble (105 * kSecond);
+  day.finish ();
+}
+
+// A zone away for two leases, many machines hanging past theirs, many dead, machines that
+// do not come up, and all controllers ending in the middle of an outage.
+TEST_P (RandomRun, ZoneCutHangsDeathsAndNoRoom)
+{
+  Day day (GetParam () + 1100);
+  day.world.boot_fail = 0.15;
+  day.load ();
+  day.cut_zone (30 * kSecond, 30 * kSecond, "a", day.world.below (3));
+  for (int i = 0; i < 4; i++) {
+    day.machine_trouble (70 * kSecond + i * kSecond);
+    day.machine_trouble ((Time) (day.world.uniform (75, 120) * kSecond));
+  }
+  day.outage (85 * kSecond, 15 * kSecond);
+  for (int i = 0; i < 3; i++) {
+    day.crash (98 * kSecond, i);
+    day.crash ((115 + 12 * i) * kSecond, i); // a rolling restart
+  }
+  day.cut_zone (150 * kSecond, 25 * kSecond, "b", 0);
+  day.freeze (155 * kSecond, day.world.below (3), 20 * kSecond);
+  day.finish ();
+}
+
 TEST_P (RandomRun, BackWithinAFractionOfASecond)
 {
   Day day (GetParam () + 800);
