Tidy without change of behaviour: shared look-ups, one deployment builder and one loop of mutations in the tests

The two ends of a refused job end look the job up alike, and names on the wire are looked up in one way; a comment of scheduler.h stood at the wrong function.

--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -1266,28 +1266,35 @@
     job->conflicted = TRUE; /* until ft_scheduler_job_resolved() */
 }
 
-void
-ft_scheduler_job_stands (FtScheduler *s, const char *ref, guint64 stamp, gint64 now)
+/* What its row says is known again; NULL: the job is not. */
+static FtJob *
+conflict_over (FtScheduler *s, const char *ref, gint64 now)
 {
   s->now = now;
   FtJob *job = g_hash_table_lookup (s->jobs, ref);
+  if (job == NULL)
+    return NULL;
+  job->conflicted = FALSE;
+  ft_job_touch (job);
+  return job;
+}
+
+void
+ft_scheduler_job_stands (FtScheduler *s, const char *ref, guint64 stamp, gint64 now)
+{
+  FtJob *job = conflict_over (s, ref, now);
   if (job == NULL)
     return;
   g_warning ("job %s: open at another revision than was known", ref);
   job->stamp = stamp;
-  job->conflicted = FALSE;
-  ft_job_touch (job);
 }
 
 void
 ft_scheduler_job_resolved (FtScheduler *s, const char *ref, gboolean done, gint64 now)
 {
-  s->now = now;
-  FtJob *job = g_hash_table_lookup (s->jobs, ref);
+  FtJob *job = conflict_over (s, ref, now);
   if (job == NULL)
     return;
-  job->conflicted = FALSE;
-  ft_job_touch (job);
   if (!done) {
     withdraw (s, job);
     return;
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -121,9 +121,9 @@
 void ft_scheduler_tick (FtScheduler *s, gint64 now, gboolean may_start);
 /* Runs a placement pass if anything has changed and the last one is a while ago. */
 void ft_scheduler_place (FtScheduler *s, gint64 now, gboolean may_start);
-/* When a worker last showed our token; 0: none has yet. */
 /* This controller is behind with its reports: silence up to now proves nothing. */
 void ft_scheduler_late (FtScheduler *s, gint64 now);
+/* When a worker last showed our token; 0: none has yet. */
 gint64 ft_scheduler_last_heard (const FtScheduler *s);
 /* Machines, jobs and attempts looked at so far, in whatever is done for reports. */
 guint ft_scheduler_looked_at (const FtScheduler *s);
--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -17,17 +17,27 @@
   return TRUE;
 }
 
+/* The place of a text that need not end in a zero among others; their number if it is
+ * none of them. */
+static guint
+place_of (const char *text, gsize size, const char *const *all, guint n)
+{
+  guint i = 0;
+  while (i < n && (strlen (all[i]) != size || memcmp (all[i], text, size) != 0))
+    i++;
+  return i;
+}
+
 static gboolean
 read_priority (const json_t *body, FtPriority *priority)
 {
   static const char *const names[] = { "best_effort", "normal", "high", "prod" };
   const char *name = json_string_value (json_object_get (body, "urgency"));
-  for (guint i = 0; name != NULL && i < G_N_ELEMENTS (names); i++)
-    if (strcmp (name, names[i]) == 0) {
-      *priority = (FtPriority) i;
-      return TRUE;
-    }
-  return FALSE;
+  guint i = name != NULL ? place_of (name, strlen (name), names, G_N_ELEMENTS (names)) : G_N_ELEMENTS (names);
+  if (i == G_N_ELEMENTS (names))
+    return FALSE;
+  *priority = (FtPriority) i;
+  return TRUE;
 }
 
 static gboolean
@@ -35,12 +45,11 @@
 {
   static const char *const names[] = { "array", "group", "service" };
   const char *name = json_string_value (json_object_get (body, "shape"));
-  for (guint i = 0; name != NULL && i < G_N_ELEMENTS (names); i++)
-    if (strcmp (name, names[i]) == 0) {
-      *kind = (FtJobKind) i;
-      return TRUE;
-    }
-  return FALSE;
+  guint i = name != NULL ? place_of (name, strlen (name), names, G_N_ELEMENTS (names)) : G_N_ELEMENTS (names);
+  if (i == G_N_ELEMENTS (names))
+    return FALSE;
+  *kind = (FtJobKind) i;
+  return TRUE;
 }
 
 static gboolean
@@ -107,17 +116,6 @@
   return TRUE;
 }
 
-/* The place of a text that need not end in a zero among others; their number if it is
- * none of them. */
-static guint
-place_of (const char *text, gsize size, const char *const *all, guint n)
-{
-  guint i = 0;
-  while (i < n && (strlen (all[i]) != size || memcmp (all[i], text, size) != 0))
-    i++;
-  return i;
-}
-
 gboolean
 ft_message_task_state (const char *state, gsize state_size, const char *cause, gsize cause_size, FtReportedTask *task)
 {
--- a/src/wire/report.c
+++ b/src/wire/report.c
@@ -138,7 +138,7 @@
 static gboolean
 read_name (const Item *item, FtReportedTask *task)
 {
-  char name[2 * FT_TEXT_MOST];
+  char name[FT_TEXT_MOST + 1];
   if (!plain (item, FT_TEXT_MOST))
     return FALSE;
   memcpy (name, item->text, item->count);
--- a/tests/load.cpp
+++ b/tests/load.cpp
@@ -46,33 +46,38 @@
   double jobs_per_s = argc > 2 ? atof (argv[2]) : 1;
   int seconds = argc > 3 ? atoi (argv[3]) : 30;
   Services services;
-  json_t *settings = json_loads (R"({"size":3,"zones":["a"],
-    "teams":[{"name":"red","cpus":40000.0,"cpus_max":40000.0,"gpus":0.0,"gpus_max":0.0}],"objectives":[],
-    "workers":{"report_s":5.0,"lease_s":26.5,"cancel_s":46.5},"state":{"rps":200.0,"write_rps":80.0,
-    "value_kb":16.0,"txn_ops":12},"cloud":{"rps":5.0,"list_lag_s":1.0},
-    "resources":{"cpu_share":1.0,"ram_mb":400.0,"fd_limit":5000},"skew_ms":25.0
-})", 0, nullptr);
-  Controllers c (services, 3, settings);
-json_decref (settings);
-size_t leader = c.leader ();
-std::vector<std::unique_ptr<Machine> > all;
-for (guint i = 0; i < machines; i++) {
-  g_autofree char *name = g_strdup_printf ("n-%06u", i + 1);
-  all.push_back (std::make_unique<Machine> (c.front, name, 500 + i % 10, 36, 10));
-}
-printf ("leader %s\n", g_subprocess_get_identifier (c.processes[leader]));
-fflush (stdout);
-Load load{ c };
-g_timeout_add ((guint) (1000 / jobs_per_s), Load::submit, &load);
-gint64 end = g_get_monotonic_time () + seconds * G_USEC_PER_SEC;
-while (g_get_monotonic_time () < end)
-  g_main_context_iteration (nullptr, TRUE);
-guint starts = 0;
-for (const auto &m : all)
-  starts += m->starts;
-printf ("%u accepted, %u refused, %u polls, %u starts\n", load.accepted, load.refused, load.polls, starts);
-fflush (stdout);
-for (size_t i = 0; i < 3; i++)
-  c.kill (i);
-_exit (0);
+  Site site;
+  site.cpus = site.cpus_max = 40000;
+  site.report_s = 5;
+  site.lease_s = 26.5;
+  site.cancel_s = 46.5;
+  site.rps = 200;
+  site.write_rps = 80;
+  site.value_kb = 16;
+  site.txn_ops = 12;
+  site.cloud_rps = 5;
+  site.ram_mb = 400;
+  site.fd_limit = 5000;
+  Controllers c (services, 3, site);
+  size_t leader = c.leader ();
+  std::vector<std::unique_ptr<Machine> > all;
+  for (guint i = 0; i < machines; i++) {
+    g_autofree char *name = g_strdup_printf ("n-%06u", i + 1);
+    all.push_back (std::make_unique<Machine> (c.front, name, 500 + i % 10, 36, 10));
+  }
+  printf ("leader %s\n", g_subprocess_get_identifier (c.processes[leader]));
+  fflush (stdout);
+  Load load{ c };
+  g_timeout_add ((guint) (1000 / jobs_per_s), Load::submit, &load);
+  gint64 end = g_get_monotonic_time () + seconds * G_USEC_PER_SEC;
+  while (g_get_monotonic_time () < end)
+    g_main_context_iteration (nullptr, TRUE);
+  guint starts = 0;
+  for (const auto &m : all)
+    starts += m->starts;
+  printf ("%u accepted, %u refused, %u polls, %u starts\n", load.accepted, load.refused, load.polls, starts);
+  fflush (stdout);
+  for (size_t i = 0; i < 3; i++)
+    c.kill (i);
+  _exit (0);
 }
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -285,18 +285,38 @@
   }
 };
 
+// A deployment, as the platform hands it over.
+struct Site {
+  double cpus = 8, cpus_max = 16;
+  double report_s = 0.3, lease_s = 20, cancel_s = 40;
+  double rps = 500, write_rps = 300, value_kb = 8;
+  int txn_ops = 16;
+  double cloud_rps = 3, ram_mb = 200;
+  int fd_limit = 1000;
+  json_t *
+  settings () const
+  {
+    return json_pack ("{s:i, s:[s], s:[{s:s, s:f, s:f, s:f, s:f}], s:[], s:{s:f, s:f, s:f}, s:{s:f, s:f, s:f, s:i},"
+                      " s:{s:f, s:f}, s:{s:f, s:f, s:i}, s:f}",
+                      "size", 3, "zones", "a", "teams", "name", "red", "cpus", cpus, "cpus_max", cpus_max, "gpus", 0.0,
+                      "gpus_max", 0.0, "objectives", "workers", "report_s", report_s, "lease_s", lease_s, "cancel_s",
+                      cancel_s, "state", "rps", rps, "write_rps", write_rps, "value_kb", value_kb, "txn_ops", txn_ops,
+                      "cloud", "rps", cloud_rps, "list_lag_s", 1.0, "resources", "cpu_share", 1.0, "ram_mb", ram_mb,
+                      "fd_limit", fd_limit, "skew_ms", 25.0);
+  }
+};
+
 struct Controllers {
   std::vector<std::string> front, mesh, files;
   std::vector<GSubprocess *> processes;
-  // `settings` is as the platform hands it over; borrowed.
-  Controllers (const Services &services, int n, const json_t *settings)
+  explicit Controllers (const Services &services, int n = 3, const Site &site = {})
   {
     for (int i = 0; i < n; i++) {
       front.push_back (free_address ());
       mesh.push_back (free_address ());
     }
     for (int i = 0; i < n; i++) {
-      write_file (services, i, settings);
+      write_file (services, (size_t) i, site);
       processes.push_back (nullptr);
       start (i);
     }
@@ -346,7 +366,7 @@
 
 private:
   void
-  write_file (const Services &services, size_t i, const json_t *settings)
+  write_file (const Services &services, size_t i, const Site &site)
   {
     json_t *others = json_array ();
     for (size_t j = 0; j < front.size (); j++)
@@ -354,9 +374,9 @@
         json_array_append_new (others, json_pack ("{s:s, s:s}", "member", ("hearth-" + std::to_string (j)).c_str (),
                                                   "peer_addr", mesh[j].c_str ()));
     json_t *root = json_pack (
-        "{s:s, s:s, s:s, s:s, s:o, s:{s:s, s:s}, s:O}", "member", ("hearth-" + std::to_string (i)).c_str (), "area",
+        "{s:s, s:s, s:s, s:s, s:o, s:{s:s, s:s}, s:o}", "member", ("hearth-" + std::to_string (i)).c_str (), "area",
         "a", "front", front[i].c_str (), "mesh_addr", mesh[i].c_str (), "others", others, "services", "cloud",
-        services.cloud_addr.c_str (), "state", services.state_addr.c_str (), "settings", (json_t *) settings);
+        services.cloud_addr.c_str (), "state", services.state_addr.c_str (), "settings", site.settings ());
     char *name;
     close (g_file_open_tmp ("flintrack-test-XXXXXX", &name, nullptr));
     json_dump_file (root, name, 0);
--- a/tests/sim/node.cpp
+++ b/tests/sim/node.cpp
@@ -578,10 +578,9 @@
 World::poll (const std::string &ref)
 {
   // Some node is asked; one that cannot read the store says so.
-  const std::string node = "node-" + std::to_string (below (3));
-  auto cut = cuts.find ({ node, "store" });
-  bool served = !store.down && nodes[node.back () - '0']->alive && now >= nodes[node.back () - '0']->frozen_until
-                && (cut == cuts.end () || cut->second <= now);
+  const Node &asked = *nodes[below (3)];
+  auto cut = cuts.find ({ asked.name (), "store" });
+  bool served = !store.down && asked.alive && now >= asked.frozen_until && (cut == cuts.end () || cut->second <= now);
   checker->asked (now, ref, served);
   if (!served)
     return;
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -441,6 +441,12 @@
   now = end;
 }
 
+Node *
+World::node (const std::string &name)
+{
+  return name.rfind ("node-", 0) == 0 ? nodes[name.back () - '0'].get () : nullptr;
+}
+
 void
 World::deliver (const std::string &from, const std::string &to, std::function<void ()> what)
 {
@@ -457,9 +463,9 @@
   }
   after (delay, [this, to, what] {
     auto machine = machines.find (to);
-    Node *node = to.rfind ("node-", 0) == 0 ? nodes[to.back () - '0'].get () : nullptr;
-    if (node != nullptr && now < node->frozen_until) {
-      at (node->frozen_until, what);
+    Node *controller = node (to);
+    if (controller != nullptr && now < controller->frozen_until) {
+      at (controller->frozen_until, what);
     } else if (machine == machines.end ()) {
       what ();
     } else if (machine->second->alive && now >= machine->second->deaf_until) {
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -258,6 +258,9 @@
   void withdraw (const std::string &ref);
   void poll (const std::string &ref);
 
+  // By its name; NULL: it is no controller's.
+  Node *node (const std::string &name);
+
   Time now = 0;
   GRand *random;
   double loss = 0.002, late = 0.002, wrong_suspicion = 0.0005;
--- a/tests/test_fuzz.cpp
+++ b/tests/test_fuzz.cpp
@@ -173,30 +173,40 @@
   json_object_iter_set_new (node, it, json_loads (text, JSON_DECODE_ANY, nullptr));
 }
 
+// Bytes of the seed with errors in them, and the seed's tree with errors in it.
 void
-run (const char *name, Target target)
+each_mutation (const json_t *seed, guint32 draw, std::function<void (const guint8 *, gsize)> on_bytes,
+               std::function<void (json_t *)> on_tree)
 {
-  g_autoptr (GRand) random = g_rand_new_with_seed (7);
-  json_t *seed = json_loads (read_corpus (name).c_str (), 0, nullptr);
-  ASSERT_NE (seed, nullptr);
-  GBytes *encoded = ft_cbor_encode (seed);
+  g_autoptr (GRand) random = g_rand_new_with_seed (draw);
+  g_autoptr (GBytes) encoded = ft_cbor_encode (seed);
   gsize size;
   auto data = (const guint8 *) g_bytes_get_data (encoded, &size);
-  int decoded = 0;
   for (int i = 0; i < kRounds; i++) {
     std::vector<guint8> bytes (data, data + size);
     mutate (random, bytes);
-    json_t *body = ft_cbor_decode (bytes.data (), bytes.size ());
-    decoded += body != nullptr;
-    target (body);
-    json_decref (body);
+    on_bytes (bytes.data (), bytes.size ());
     json_t *tree = json_deep_copy (seed);
     mutate_tree (random, tree);
-    target (tree);
+    on_tree (tree);
     json_decref (tree);
   }
+}
+
+void
+run (const char *name, Target target)
+{
+  json_t *seed = json_loads (read_corpus (name).c_str (), 0, nullptr);
+  ASSERT_NE (seed, nullptr);
+  int decoded = 0;
+  auto from_bytes = [&] (const guint8 *data, gsize size) {
+    json_t *body = ft_cbor_decode (data, size);
+    decoded += body != nullptr;
+    target (body);
+    json_decref (body);
+  };
+  each_mutation (seed, 7, from_bytes, target);
   EXPECT_GT (decoded, 0);
-  g_bytes_unref (encoded);
   json_decref (seed);
 }
 
@@ -230,26 +240,18 @@
 
 TEST (Fuzz, ReportFromBytesAsFromTheTree)
 {
-  g_autoptr (GRand) random = g_rand_new_with_seed (9);
   json_t *seed = json_loads (read_corpus ("report").c_str (), 0, nullptr);
   json_object_set_new (seed, "recall_s", json_real (12.5));
-  GBytes *encoded = ft_cbor_encode (seed);
-  gsize size;
-  auto data = (const guint8 *) g_bytes_get_data (encoded, &size);
   int taken = 0;
-  for (int i = 0; i < kRounds; i++) {
-    std::vector<guint8> bytes (data, data + size);
-    mutate (random, bytes);
-    read_both (bytes.data (), bytes.size (), &taken);
-    json_t *tree = json_deep_copy (seed);
-    mutate_tree (random, tree);
-    g_autoptr (GBytes) changed = ft_cbor_encode (tree);
-    read_both ((const guint8 *) g_bytes_get_data (changed, &size), g_bytes_get_size (changed), &taken);
-    size = g_bytes_get_size (encoded);
-    json_decref (tree);
-  }
+  auto from_bytes = [&] (const guint8 *data, gsize size) { read_both (data, size, &taken); };
+  auto from_tree = [&] (json_t *tree) {
+    g_autoptr (GBytes) bytes = ft_cbor_encode (tree);
+    gsize size;
+    auto data = (const guint8 *) g_bytes_get_data (bytes, &size);
+    from_bytes (data, size);
+  };
+  each_mutation (seed, 9, from_bytes, from_tree);
   EXPECT_GT (taken, 100);
-  g_bytes_unref (encoded);
   json_decref (seed);
 }
 
--- a/tests/test_program.cpp
+++ b/tests/test_program.cpp
@@ -54,18 +54,6 @@
   return nullptr;
 }
 
-Controllers
-several (const Services &services, int n, int fd_limit = 1000)
-{
-  std::unique_ptr<json_t, void (*) (json_t *)> settings (json_loads (R"({"size":3,"zones":["a"],
-    "teams":[{"name":"red","cpus":8.0,"cpus_max":16.0,"gpus":0.0,"gpus_max":0.0}],"objectives":[],
-    "workers":{"report_s":0.3,"lease_s":20.0,"cancel_s":40.0},"state":{"rps":500.0,"write_rps":300.0,
-    "value_kb":8.0,"txn_ops":16},"cloud":{"rps":3.0,"list_lag_s":1.0},
-    "resources":{"cpu_share":1.0,"ram_mb":200.0,"fd_limit":1000},"skew_ms":25.0})", 0, nullptr), json_decref);
-  json_object_set_new (json_object_get (settings.get (), "resources"), "fd_limit", json_integer (fd_limit));
-return Controllers (services, n, settings.get ());
-}
-
 bool
 finished (const std::string &addr, const char *ref, const char *standing)
 {
@@ -75,7 +63,7 @@
 TEST (Program, ServesOverLoopbackAndSurvivesAKilledController)
 {
   Services services;
-  Controllers c = several (services, 3);
+  Controllers c (services);
   for (size_t i = 0; i < 3; i++)
     ASSERT_TRUE (c.ready (i));
   Machine machine (c.front);
@@ -124,7 +112,7 @@
 TEST (Program, AdministrationApiAndFlintctl)
 {
   Services services;
-  Controllers c = several (services, 3);
+  Controllers c (services);
   for (size_t i = 0; i < 3; i++)
     ASSERT_TRUE (c.ready (i));
   Machine machine (c.front);
@@ -253,7 +241,9 @@
 {
   constexpr int kMachines = 120, kUsers = 60, kSockets = 200;
   Services services;
-  Controllers c = several (services, 1, kSockets);
+  Site site;
+  site.fd_limit = kSockets;
+  Controllers c (services, 1, site);
   ASSERT_TRUE (c.ready (0));
   std::vector<std::unique_ptr<Machine> > machines;
   for (int i = 0; i < kMachines; i++) {
