--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -26,6 +26,9 @@
 #define FT_CLOCK_DRIFT 0.0011
 /* Seconds taken off every lease, for timers that fire late. */
 #define FT_LEASE_MARGIN_S 0.3
+/* Seconds for which a leader starts work after it has last seen all withdrawals: a watch
+ * that is lost costs four. */
+#define FT_KNOWN_FRESH_S 6.0
 /* Seconds kept off the longest hold, for timers that fire late. */
 #define FT_HOLD_MARGIN_S 2.0
 
@@ -142,6 +145,9 @@
  * left until its deadline, to be stopped for another. */
 #define FT_PREEMPT_RAN_SHARE 0.25
 #define FT_PREEMPT_SLACK 1.3
+/* Share of cancel_s after which a machine that cannot be asked, and may hold a withdrawn
+ * task, is returned whatever the bound on returns: the rest is for the cloud. */
+#define FT_WITHDRAWN_MOST 0.5
 /* Share of an image's fetch that is still to come, in the mean, if it has begun. */
 #define FT_SCORE_FETCHING 0.8
 /* What a machine left wholly empty and an ordinary machine weigh in the choice of
@@ -283,6 +289,10 @@
  * the next one then; and refusals in a row after which a leader is suspected. */
 #define FT_MESH_REFUSED_S 0.3
 #define FT_MESH_AGAIN_S 0.3
+/* Seconds for which heartbeats name a withdrawal, so that one that is lost does not
+ * matter, and withdrawals in one heartbeat, whose body is bounded. */
+#define FT_MESH_WITHDRAWN_S 5.0
+#define FT_MESH_WITHDRAWN_MOST 200
 #define FT_MESH_REFUSALS 2
 /* Seconds for which a peer's answer shows that the mesh works. */
 #define FT_MESH_WITNESS_S 1.5
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -334,7 +334,8 @@
   }
   guint most = MAX (FT_SILENT_RETURN_MIN, (guint) (FT_SILENT_RETURN_SHARE * (up + lost)));
   gint64 long_silent = (gint64) (2 * s->settings->lease_s * FT_SECOND);
-  return (lost <= up || s->now - machine->last_report > long_silent) && s->silent_returned < most;
+  return (lost <= up || s->now - MAX (machine->last_checkin, s->hearing_since) > long_silent)
+         && s->silent_returned < most;
 }
 
 static gboolean
@@ -345,6 +346,25 @@
          && s->now - MAX (m->deaf_since, s->hearing_since) > (gint64) (FT_DEAF_RETURN_S * FT_SECOND);
 }
 
+/* Its lease has run out, and so will the next. */
+static gboolean
+mute_long (const FtScheduler *s, const FtMachine *m)
+{
+  double lease = s->settings->lease_s * (1 + FT_CLOCK_DRIFT) + FT_WORKER_LEASE_MARGIN_S;
+  return ft_machine_mute (s, m) && s->now - MAX (m->last_checkin, s->hearing_since) > (gint64) (lease * FT_SECOND);
+}
+
+/* Why a machine is of no use, and may be given up; NULL: it is of use. */
+static const char *
+why_lost (const FtScheduler *s, const FtMachine *m)
+{
+  if (m->state == FT_MACHINE_SILENT)
+    return "silent";
+  if (deaf_long (s, m))
+    return "does not hear us";
+  return mute_long (s, m) ? "reaches no controller" : NULL;
+}
+
 static void
 count_heard (FtScheduler *s, guint *up, guint *lost)
 {
@@ -354,7 +374,7 @@
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     const FtMachine *m = value;
-    gboolean heard = m->state == FT_MACHINE_UP && !ft_machine_deaf (m);
+    gboolean heard = m->state == FT_MACHINE_UP && !ft_machine_deaf (m) && !ft_machine_mute (s, m);
     *up += heard;
     *lost += !heard && (m->state == FT_MACHINE_UP || m->state == FT_MACHINE_SILENT);
   }
@@ -375,6 +395,34 @@
   return FALSE;
 }
 
+/* The age of the oldest withdrawal of which tasks may run unseen; 0: none. */
+static gint64
+unseen_withdrawal_age (const FtScheduler *s)
+{
+  gint64 age = 0;
+  GHashTableIter it;
+  gpointer value;
+  if (s->recovered)
+    return 0;
+  g_hash_table_iter_init (&it, s->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    const FtJob *job = value;
+    if (job->state == FT_JOB_WITHDRAWN && job->counts[FT_TASK_UNKNOWN] > 0)
+      age = MAX (age, s->now - job->withdrawn_at);
+  }
+  return age;
+}
+
+/* What an unaccounted machine holds nobody knows. Given back for that alone, a cut zone
+ * would go with each cancellation: not before half of the time is over. */
+static gboolean
+may_hold_withdrawn (const FtScheduler *s, const FtMachine *machine)
+{
+  return holds_withdrawn (machine)
+         || (!machine->accounted
+             && s->unseen_withdrawal > (gint64) (FT_WITHDRAWN_MOST * s->settings->cancel_s * FT_SECOND));
+}
+
 /* A withdrawn task whose direct start got no answer may still start, late, as
  * long as the machine's session lasts: such a machine is emptied and returned. */
 static double
@@ -415,6 +463,7 @@
   GHashTableIter it;
   gpointer value;
   count_heard (s, &up, &lost);
+  s->unseen_withdrawal = unseen_withdrawal_age (s);
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     FtMachine *m = value;
@@ -423,10 +472,9 @@
     gint64 taken = m->notice_until + (gint64) (FT_NOTICE_MARGIN_S * FT_SECOND);
     if (m->notice_until > 0 && s->now > taken && m->last_report < m->notice_until) {
       return_machine (s, m, "taken by the cloud");
-    } else if ((m->state == FT_MACHINE_SILENT || deaf_long (s, m))
-               && (holds_withdrawn (m) || may_give_up (s, m, up, lost))) {
+    } else if (why_lost (s, m) != NULL && (may_hold_withdrawn (s, m) || may_give_up (s, m, up, lost))) {
       s->silent_returned++;
-      return_machine (s, m, m->state == FT_MACHINE_SILENT ? "silent" : "does not hear us");
+      return_machine (s, m, why_lost (s, m));
     } else if (boot_failed (s, m)) {
       return_machine (s, m, "did not come up");
     } else if (in_doubt (s, m)) {
@@ -520,6 +568,9 @@
   return call;
 }
 
+/* A leader that has lost the store gives back only what holds withdrawn tasks: they
+ * must be gone in time, and a machine that hangs cannot drop them. That is no placing,
+ * and a successor that returns the same machines again changes nothing. */
 static FtCloudCall *
 next_return (FtScheduler *s)
 {
@@ -527,7 +578,7 @@
   for (GList *l = s->returning.head; l != NULL; l = l->next) {
     FtMachine *m = l->data;
     s->looked_at++;
-    if (m->return_in_flight || m->return_at > s->now)
+    if (m->return_in_flight || m->return_at > s->now || (!s->may_start && !may_hold_withdrawn (s, m)))
       continue;
     if (call == NULL)
       call = call_new (FT_CLOUD_RETURN);
@@ -543,10 +594,8 @@
 ft_scheduler_next_cloud (FtScheduler *s, gint64 now)
 {
   s->now = now;
-  if (!s->may_start)
-    return NULL;
   FtCloudCall *call = next_return (s);
-  if (call != NULL)
+  if (call != NULL || !s->may_start)
     return call;
   GHashTableIter it;
   gpointer value;
--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -24,6 +24,8 @@
   guint64 fence_stamp; /* of our acquisition */
   gint64 valid_until;
   gint64 last_contact; /* when the last renewal that succeeded was sent */
+  gboolean informed;   /* all withdrawals before `known_until` are known */
+  gint64 known_until;
   gint64 next_renewal;
 };
 
@@ -252,6 +254,7 @@
     return;
   lease->fence_stamp = stamp;
   lease->last_contact = 0;
+  lease->informed = FALSE;
   extend (lease, sent_at);
 }
 
@@ -321,20 +324,39 @@
     set_state (lease, FT_LEASE_LAPSED);
 }
 
+void
+ft_lease_knows (FtLease *lease, gint64 at)
+{
+  lease->known_until = lease->informed ? MAX (lease->known_until, at) : at;
+  lease->informed = TRUE;
+}
+
+void
+ft_lease_cede (FtLease *lease, gint64 now)
+{
+  lease->valid_until = MIN (lease->valid_until, now);
+  ft_lease_tick (lease, now);
+}
+
+/* A renewal that succeeds after an outage says nothing of what was withdrawn
+ * meanwhile: no start before that has been seen too. */
 gboolean
 ft_lease_may_start (const FtLease *lease, gint64 now)
 {
-  return lease->state == FT_LEASE_HOLDING && now < lease->valid_until;
+  return lease->state == FT_LEASE_HOLDING && now < lease->valid_until && lease->informed
+         && now < lease->known_until + (gint64) (FT_KNOWN_FRESH_S * FT_SECOND);
 }
 
+/* An answer prolongs the lease of a worker, and with it whatever runs there: also what
+ * was withdrawn after the last sight of withdrawals, or, of a new holder, before its
+ * first one, however long ago that was. Hence no answer before the rows are read, and
+ * the hold counts from the older of the last renewal and that sight. */
 gboolean
-ft_lease_may_answer (const FtLease *lease, gint64 now, gint64 last_watch)
+ft_lease_may_answer (const FtLease *lease, gint64 now)
 {
   if (lease->state != FT_LEASE_HOLDING && lease->state != FT_LEASE_LAPSED)
     return FALSE;
-  /* Withdrawals reach us through the watch: the hold counts from the older of
-   * the last renewal and the last sight of the watch. */
-  return now < MIN (lease->last_contact, last_watch) + lease->hold_us;
+  return lease->informed && now < MIN (lease->last_contact, lease->known_until) + lease->hold_us;
 }
 
 guint64
--- a/src/core/lease.h
+++ b/src/core/lease.h
@@ -83,8 +83,16 @@
 /* Moves HOLDING to LAPSED when its time is over. */
 void ft_lease_tick (FtLease *lease, gint64 now);
 
+/* The holder knows every withdrawal that was committed before `at`: the time at which
+ * the request was sent whose answer completes its knowledge. Never known right after an
+ * acquisition, until the rows have been read. */
+void ft_lease_knows (FtLease *lease, gint64 at);
+/* Somebody else should lead: the holder starts nothing more, and goes on answering
+ * until it is succeeded, its hold is over or a renewal succeeds after all. */
+void ft_lease_cede (FtLease *lease, gint64 now);
+
 gboolean ft_lease_may_start (const FtLease *lease, gint64 now);
-gboolean ft_lease_may_answer (const FtLease *lease, gint64 now, gint64 last_watch);
+gboolean ft_lease_may_answer (const FtLease *lease, gint64 now);
 guint64 ft_lease_token (const FtLease *lease);
 guint64 ft_lease_fence_stamp (const FtLease *lease);
 /* The holder last seen, or NULL; borrowed. */
--- a/src/core/machine.c
+++ b/src/core/machine.c
@@ -126,8 +126,8 @@
 ft_machine_usable (const FtScheduler *s, const FtMachine *machine)
 {
   return machine->state == FT_MACHINE_UP && machine->in_roster && machine->accounted && machine->knows_us
-         && !ft_machine_deaf (machine) && machine->type != NULL && !machine->drained && !machine->faulty
-         && machine->notice_until == 0 && machine->session > machine->lapsed_session
+         && !ft_machine_deaf (machine) && !ft_machine_mute (s, machine) && machine->type != NULL && !machine->drained
+         && !machine->faulty && machine->notice_until == 0 && machine->session > machine->lapsed_session
          && s->now - machine->last_report
                 < (gint64) ((s->settings->report_s * FT_REPORT_GAP + FT_USABLE_MARGIN_S) * FT_SECOND);
 }
@@ -139,6 +139,16 @@
   return machine->deaf_since > 0;
 }
 
+/* Commands reach it, but its reports reach nobody: whatever is started there dies with
+ * its lease. Counted from its own reports alone; a controller that was late hears none. */
+gboolean
+ft_machine_mute (const FtScheduler *s, const FtMachine *machine)
+{
+  double longest = s->settings->report_s * FT_REPORT_GAP + FT_WORKER_TIMEOUT_S + FT_SILENCE_MARGIN_S;
+  return machine->state == FT_MACHINE_UP
+         && s->now - MAX (machine->last_checkin, s->hearing_since) > (gint64) (longest * FT_SECOND);
+}
+
 gboolean
 ft_machine_allowed (const FtMachine *machine, const FtJobSpec *spec)
 {
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -56,6 +56,7 @@
   gint64 chunk_at; /* earliest next write of a chunk */
   gboolean final_in_flight, conflicted;
   gint64 accepted_at, deadline_at; /* deadline 0: none */
+  gint64 withdrawn_at;             /* when its withdrawal was committed, for all we know */
   gboolean guaranteed, too_late;
   gboolean begun;    /* a task of it has been placed, or was found done or on a machine */
   gboolean overlong; /* it has waited to begin for as long as any may */
@@ -91,6 +92,7 @@
   guint unheard;          /* newer reports in a row that show nothing of our answers */
   gint64 deaf_since;      /* 0: it hears us, for all we know */
   gint64 rented_at, last_report, last_answer, idle_since;
+  gint64 last_checkin; /* its last report of its own, not the answer to a command of ours */
   gint64 notice_until; /* 0: none */
   gint64 probe_at;
   guint probe_fails;  /* direct requests without answer since the last report */
@@ -185,6 +187,7 @@
   gint64 next_fleet;
   gint64 silent_window_at;
   guint silent_returned;
+  gint64 unseen_withdrawal; /* age of the oldest withdrawal of which tasks may run unseen; 0: none */
   guint open_tasks;
 };
 
@@ -216,6 +219,7 @@
 void ft_job_touch (FtJob *job);
 guint ft_machine_room (const FtMachine *machine, const FtJobSpec *spec);
 gboolean ft_machine_deaf (const FtMachine *machine);
+gboolean ft_machine_mute (const FtScheduler *s, const FtMachine *machine);
 gboolean ft_machine_idle (const FtMachine *machine);
 gboolean ft_machine_allowed (const FtMachine *machine, const FtJobSpec *spec);
 FtAttempt *ft_machine_attempt (const FtMachine *machine, const char *ref, guint index, guint64 id);
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -158,10 +158,13 @@
 
 /* Nothing of a withdrawn job starts any more; what runs is stopped. */
 static void
-withdraw (FtScheduler *s, FtJob *job)
+withdraw (FtScheduler *s, FtJob *job, gint64 at)
 {
-  if (job->state != FT_JOB_OPEN)
+  if (job->state != FT_JOB_OPEN) {
+    job->withdrawn_at = MIN (job->withdrawn_at, at);
     return;
+  }
+  job->withdrawn_at = at;
   ft_job_set_state (job, FT_JOB_WITHDRAWN);
   for (guint i = 0; i < job->spec->tasks; i++) {
     FtAttempt *a = job->tasks[i].attempt;
@@ -178,12 +181,12 @@
 }
 
 void
-ft_scheduler_job_withdrawn (FtScheduler *s, const char *ref, gint64 now)
+ft_scheduler_job_withdrawn (FtScheduler *s, const char *ref, gint64 age_us, gint64 now)
 {
   s->now = now;
   FtJob *job = g_hash_table_lookup (s->jobs, ref);
   if (job != NULL)
-    withdraw (s, job);
+    withdraw (s, job, now - age_us);
 }
 
 static void
@@ -559,6 +562,8 @@
   if (report->session > machine->session)
     begin_session (s, machine, report->session);
   machine->sequence = report->sequence;
+  if (is_report)
+    machine->last_checkin = s->now;
   now_up (s, machine);
   ft_roster_add (s, machine);
   if (report->token >= s->token)
@@ -843,7 +848,7 @@
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     FtMachine *machine = value;
-    machine->last_report = now; /* silence counts from here */
+    machine->last_report = machine->last_checkin = now; /* silence counts from here */
     machine->probe_at = now + seconds (FT_PROBE_FIRST_S);
     machine->last_answer = MAX (machine->last_answer, now); /* it may have been answered while we read */
     if (machine->state == FT_MACHINE_BOOTING && machine->in_roster)
@@ -1296,7 +1301,7 @@
   if (job == NULL)
     return;
   if (!done) {
-    withdraw (s, job);
+    withdraw (s, job, s->now);
     return;
   }
   leave_chunks (s, job, FALSE);
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -31,7 +31,9 @@
 /* ---- jobs ---- */
 /* A job accepted after the takeover. Takes the spec. */
 void ft_scheduler_job_added (FtScheduler *s, FtJobSpec *spec, guint64 stamp, gint64 now, gint64 wall_ms);
-void ft_scheduler_job_withdrawn (FtScheduler *s, const char *ref, gint64 now);
+/* `age_us`: how long ago the withdrawal was committed, at least; a hint of a peer that
+ * has committed it is as good as its row, since it only ever stops tasks. */
+void ft_scheduler_job_withdrawn (FtScheduler *s, const char *ref, gint64 age_us, gint64 now);
 void ft_scheduler_set_catalog (FtScheduler *s, FtCatalog *catalog);
 
 typedef struct {
--- a/src/net/leader.c
+++ b/src/net/leader.c
@@ -20,6 +20,7 @@
   GArray *list;
   char *text;
   const char *prefix; /* static */
+  gint64 began_at;    /* when the first page of a reading was asked for */
   guint tries;
   void (*again) (struct Call *call);
 } Call;
@@ -91,7 +92,7 @@
 
 /* ---- recovery: jobs, done-sets, roster ---- */
 
-static void load_next (FtNode *node, const char *prefix, const char *after);
+static void load_next (FtNode *node, const char *prefix, const char *after, gint64 began_at);
 
 static void
 load_open_row (FtNode *node, const FtRow *row, gboolean fresh)
@@ -102,7 +103,8 @@
   if (ref == NULL || row->value == NULL)
     return;
   if (withdrawn) {
-    ft_scheduler_job_withdrawn (node->scheduler, ref, now);
+    gint64 age_us = MAX (0, wall_ms () - ft_row_withdrawn_at (row->value)) * 1000;
+    ft_scheduler_job_withdrawn (node->scheduler, ref, age_us, now);
     return;
   }
   FtJobSpec *spec = ft_row_open_parse (ref, row->value);
@@ -133,18 +135,24 @@
 }
 
 static void
-load_finished (FtNode *node, const char *prefix)
+load_finished (FtNode *node, const char *prefix, gint64 began_at)
 {
-  if (strcmp (prefix, FT_PREFIX_OPEN) == 0 && !ft_scheduler_is_loaded (node->scheduler)) {
-    load_next (node, FT_PREFIX_DONE, NULL);
+  if (strcmp (prefix, FT_PREFIX_OPEN) == 0) {
+    /* The pages differ in age, and an outage may lie between them: what is known is
+     * known as of the first. What came later comes by the watch. */
+    ft_lease_knows (node->lease, began_at);
+  }
+  if (ft_scheduler_is_loaded (node->scheduler)) {
+    node->next_watch = 0;
+  } else if (strcmp (prefix, FT_PREFIX_OPEN) == 0) {
+    load_next (node, FT_PREFIX_DONE, NULL, 0);
   } else if (strcmp (prefix, FT_PREFIX_DONE) == 0) {
-    load_next (node, FT_PREFIX_DRAINED, NULL);
+    load_next (node, FT_PREFIX_DRAINED, NULL, 0);
   } else if (strcmp (prefix, FT_PREFIX_DRAINED) == 0) {
-    load_next (node, FT_PREFIX_ROSTER, NULL);
+    load_next (node, FT_PREFIX_ROSTER, NULL, 0);
   } else {
     ft_scheduler_loaded (node->scheduler, g_get_monotonic_time ());
     ft_metrics_time (node->metrics, FT_TIME_RECOVERY, g_get_monotonic_time () - node->led_since);
-    node->last_watch = g_get_monotonic_time ();
     node->next_watch = 0;
     g_message ("node %s: leader under token %" G_GUINT64_FORMAT ", recovered the store", node->config->member,
                ft_lease_token (node->lease));
@@ -174,9 +182,9 @@
   for (guint i = 0; i < rows->len; i++)
     load_row (node, &g_array_index (rows, FtRow, i));
   if (more && rows->len > 0)
-    load_next (node, call->prefix, g_array_index (rows, FtRow, rows->len - 1).key);
+    load_next (node, call->prefix, g_array_index (rows, FtRow, rows->len - 1).key, call->began_at);
   else
-    load_finished (node, call->prefix);
+    load_finished (node, call->prefix, call->began_at);
 }
 
 static void
@@ -185,12 +193,14 @@
   ft_state_list (call->node->state, call->prefix, call->text, FT_STATE_LEASE, on_load, call);
 }
 
+/* `began_at`: when the first page was asked for; 0: this is the first. */
 static void
-load_next (FtNode *node, const char *prefix, const char *after)
+load_next (FtNode *node, const char *prefix, const char *after, gint64 began_at)
 {
   Call *call = call_new (node);
   call->text = g_strdup (after);
   call->prefix = prefix;
+  call->began_at = began_at > 0 ? began_at : call->sent_at;
   load_page (call);
 }
 
@@ -205,7 +215,7 @@
     return;
   node->watch_in_flight = FALSE;
   if (status == 410) {
-    load_next (node, FT_PREFIX_OPEN, NULL);
+    load_next (node, FT_PREFIX_OPEN, NULL, 0);
     return;
   }
   g_autoptr (GArray) rows = status == 200 ? ft_store_events (body) : NULL;
@@ -213,9 +223,9 @@
     node->next_watch = soon (node);
     return;
   }
-  node->last_watch = MAX (node->last_watch, call->sent_at);
   for (guint i = 0; i < rows->len; i++)
     load_open_row (node, &g_array_index (rows, FtRow, i), TRUE);
+  ft_lease_knows (node->lease, call->sent_at);
   ft_node_pump (node);
 }
 
@@ -512,10 +522,10 @@
   ft_metrics_count (node->metrics, FT_COUNT_TAKEOVERS);
   node->journal_stamp = stamp;
   node->journal_batch = 0;
-  node->led_since = node->last_watch = now;
+  node->led_since = now;
   node->next_list = node->next_scheduler_tick = now;
   ft_state_set_share (node->state, FT_LEADER_SHARE);
-  load_next (node, FT_PREFIX_OPEN, NULL);
+  load_next (node, FT_PREFIX_OPEN, NULL, 0);
 }
 
 void
@@ -538,8 +548,7 @@
   ft_scheduler_place (node->scheduler, now, ft_lease_may_start (node->lease, now));
   commit_batch (node, now);
   send_directs (node, now);
-  if (ft_lease_may_start (node->lease, now))
-    call_cloud (node, now);
+  call_cloud (node, now);
 }
 
 void
--- a/src/net/mesh.c
+++ b/src/net/mesh.c
@@ -60,6 +60,57 @@
     json_object_set_new (data, ref, json_pack ("[i, i]", (int) done, (int) running));
 }
 
+/* ---- withdrawals: hints, on which no rule rests ---- */
+
+typedef struct {
+  char *ref;
+  gint64 at;
+} Withdrawn;
+
+void
+ft_mesh_forget_withdrawn (FtNode *node, gint64 before)
+{
+  Withdrawn *oldest;
+  while ((oldest = g_queue_peek_head (&node->withdrawn)) != NULL && oldest->at < before) {
+    g_queue_pop_head (&node->withdrawn);
+    g_free (oldest->ref);
+    g_free (oldest);
+  }
+}
+
+static void
+hear_withdrawn (FtNode *node, const char *ref)
+{
+  if (node->scheduler != NULL)
+    ft_scheduler_job_withdrawn (node->scheduler, ref, 0, g_get_monotonic_time ());
+}
+
+/* The leader sees withdrawals by its watch; one that the state service refuses does not,
+ * and would go on with such tasks until its hold is over. */
+void
+ft_node_withdrawn (FtNode *node, const char *ref)
+{
+  Withdrawn *entry = g_new0 (Withdrawn, 1);
+  entry->ref = g_strdup (ref);
+  entry->at = g_get_monotonic_time ();
+  g_queue_push_tail (&node->withdrawn, entry);
+  node->next_mesh = entry->at;
+  hear_withdrawn (node, ref);
+  ft_node_pump (node);
+}
+
+static void
+add_withdrawn (FtNode *node, json_t *body, gint64 now)
+{
+  ft_mesh_forget_withdrawn (node, now - (gint64) (FT_MESH_WITHDRAWN_S * FT_SECOND));
+  if (g_queue_is_empty (&node->withdrawn))
+    return;
+  json_t *refs = json_array ();
+  for (GList *l = node->withdrawn.tail; l != NULL && json_array_size (refs) < FT_MESH_WITHDRAWN_MOST; l = l->prev)
+    json_array_append_new (refs, json_string (((Withdrawn *) l->data)->ref));
+  json_object_set_new (body, "withdrawn", refs);
+}
+
 static json_t *
 beat_body (FtNode *node, gint64 now)
 {
@@ -69,6 +120,7 @@
     json_object_set_new (body, "served_ms_ago", json_integer ((now - served) / 1000));
   if (node->yielded_at > 0 && now - node->yielded_at < (gint64) (FT_YIELD_TOLD_S * FT_SECOND))
     json_object_set_new (body, "yields", json_true ());
+  add_withdrawn (node, body, now);
   if (node->scheduler == NULL)
     return body;
   json_t *jobs = json_object ();
@@ -120,6 +172,29 @@
   }
 }
 
+static void
+take_withdrawn (FtNode *node, const json_t *refs)
+{
+  size_t i;
+  json_t *item;
+  json_array_foreach ((json_t *) refs, i, item)
+  {
+    const char *ref = json_string_value (item);
+    if (ref != NULL && i < FT_MESH_WITHDRAWN_MOST)
+      hear_withdrawn (node, ref);
+  }
+  if (json_array_size (refs) > 0)
+    ft_node_pump (node);
+}
+
+/* Only who has moved the fence leads under a higher token: we are succeeded. */
+static void
+check_succeeded (FtNode *node, guint64 token)
+{
+  if (node->scheduler != NULL && token > ft_lease_token (node->lease))
+    ft_node_step_down (node, "a peer leads under a higher token");
+}
+
 static void
 handle_beat (FtNode *node, FtHttpRequest *request)
 {
@@ -134,8 +209,11 @@
     guint64 age_ms;
     if (ft_field_count (body, "served_ms_ago", 0, G_MAXINT32, &age_ms))
       view->served_at = view->heard_at - (gint64) age_ms * 1000;
-    if (ft_field_count (body, "token", 1, G_MAXINT32, &token))
+    if (ft_field_count (body, "token", 1, G_MAXINT32, &token)) {
       take_summary (node, member, token, json_object_get (body, "jobs"));
+      check_succeeded (node, token);
+    }
+    take_withdrawn (node, json_object_get (body, "withdrawn"));
     if (json_is_true (json_object_get (body, "yields")))
       ft_lease_suspect (node->lease, member, TRUE, view->heard_at);
     ft_http_respond (request, 200, json_object ());
--- a/src/net/node.c
+++ b/src/net/node.c
@@ -163,10 +163,27 @@
     return "hears from no worker";
   if (ft_lease_may_start (node->lease, now) && overrun (node, now))
     return "cannot keep up with its workers";
+  return NULL;
+}
+
+/* The state service answers a peer, and not us. */
+static gboolean
+should_cede (const FtNode *node, gint64 now)
+{
   /* Answers that were waited for while we were busy ourselves are no sign of a cut. */
   gint64 steady = MAX (node->led_since, node->on_time_since) + (gint64) (FT_CUT_OFF_GRACE_S * FT_SECOND);
-  return now > steady && ft_node_alone_unserved (node, now) ? "cannot reach the state service, which others reach"
-                                                            : NULL;
+  return ft_lease_state (node->lease) == FT_LEASE_HOLDING && now > steady && ft_node_alone_unserved (node, now);
+}
+
+/* It keeps what it knows, and the workers' leases alive within its hold: the state
+ * service may be out for all a second later, and then nobody would succeed it, nobody
+ * stop what users have withdrawn, and nobody give back machines that hang with it. */
+static void
+cede (FtNode *node, gint64 now)
+{
+  g_warning ("node %s: cannot reach the state service, which others reach: starts nothing more", node->config->member);
+  ft_lease_cede (node->lease, now);
+  node->yielded_at = node->next_mesh = now;
 }
 
 /* The peers are told as well, and look at once: a hint like any other. */
@@ -199,6 +216,8 @@
   const char *why = node->scheduler != NULL ? why_yield (node, now) : NULL;
   if (why != NULL)
     yield (node, now, why);
+  else if (node->scheduler != NULL && should_cede (node, now))
+    cede (node, now);
 }
 
 /* ---- the catalog ---- */
@@ -274,6 +293,7 @@
     g_array_append_val (node->peers, view);
   }
   node->mesh_jobs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g_queue_init (&node->withdrawn);
   node->polls = ft_polls_new (node);
   node->finals = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_queue_init (&node->final_order);
@@ -316,6 +336,7 @@
   g_hash_table_unref (node->mesh_jobs);
   g_hash_table_unref (node->finals);
   g_queue_clear_full (&node->final_order, g_free);
+  ft_mesh_forget_withdrawn (node, G_MAXINT64);
   g_free (node->mesh_leader);
   g_rand_free (node->random);
   g_free (node);
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -42,7 +42,7 @@
   gboolean sweep_in_flight, renew_in_flight, batch_in_flight, list_in_flight, catalog_in_flight, watch_in_flight;
   guint directs, cloud_calls;
   guint64 watch_since;
-  gint64 last_watch, last_tick;
+  gint64 last_tick;
   gint64 next_scheduler_tick, next_list, next_catalog, next_mesh, next_batch, next_watch;
   gint64 led_since;
   gint64 on_time_since; /* our timers were late until then */
@@ -57,6 +57,7 @@
   char *mesh_leader; /* as the mesh has it */
   guint64 mesh_token;
   GHashTable *mesh_jobs; /* ref -> FtJobView of the leader's last summary */
+  GQueue withdrawn;      /* what we have committed of late, for the peers: owned by mesh.c */
 
   FtMetrics *metrics;
   FtTuning tuning; /* operators' settings in force, and their version */
@@ -111,6 +112,10 @@
 /* mesh.c */
 void ft_mesh_tick (FtNode *node, gint64 now);
 void ft_mesh_handle (FtHttpRequest *request, gpointer node);
+/* We have committed a withdrawal: our scheduler and the peers hear of it at once. */
+void ft_node_withdrawn (FtNode *node, const char *ref);
+/* Drops what was committed before that time. */
+void ft_mesh_forget_withdrawn (FtNode *node, gint64 before);
 /* admin.c */
 void ft_admin_handle (FtNode *node, FtHttpRequest *request);
 void ft_admin_tick (FtNode *node, gint64 now);
--- a/src/net/user_api.c
+++ b/src/net/user_api.c
@@ -231,6 +231,7 @@
   if (status == 200) {
     g_message ("job %s: withdrawn", call->ref);
     ft_metrics_count (call->node->metrics, FT_COUNT_WITHDRAWN);
+    ft_node_withdrawn (call->node, call->ref);
     finish (call, 200, state_body (call->node, call->ref, "cancelled", 0));
   } else if ((status == 409 || status == 0) && ++call->tries < FT_WITHDRAW_TRIES) {
     read_job (call); /* it has changed, perhaps by this very commit */
@@ -246,7 +247,7 @@
   json_t *txn = ft_txn_new ();
   ft_txn_if (txn, job, row->stamp);
   ft_txn_put (txn, job, ft_row_job ("cancelled", tasks));
-  ft_txn_put (txn, mark, json_object ());
+  ft_txn_put (txn, mark, ft_row_withdrawn (g_get_real_time () / 1000));
   ft_state_commit (call->node->state, txn, FT_STATE_COMMIT, on_withdrawn, call);
   json_decref (txn);
 }
--- a/src/net/worker_endpoint.c
+++ b/src/net/worker_endpoint.c
@@ -19,7 +19,7 @@
 static gboolean
 entitled (const FtNode *node, gint64 now)
 {
-  return node->scheduler != NULL && ft_lease_may_answer (node->lease, now, node->last_watch);
+  return node->scheduler != NULL && ft_lease_may_answer (node->lease, now);
 }
 
 /* Everything is judged by the clock of this moment: the report may have waited. */
--- a/src/wire/store.c
+++ b/src/wire/store.c
@@ -196,6 +196,20 @@
   return TRUE;
 }
 
+json_t *
+ft_row_withdrawn (gint64 wall_ms)
+{
+  return json_pack ("{s:I}", "at_ms", (json_int_t) wall_ms);
+}
+
+gint64
+ft_row_withdrawn_at (const json_t *value)
+{
+  guint64 wall_ms = 0;
+  ft_field_count (value, "at_ms", 0, G_MAXINT64, &wall_ms);
+  return (gint64) wall_ms;
+}
+
 json_t *
 ft_row_job (const char *state, guint tasks)
 {
--- a/src/wire/store.h
+++ b/src/wire/store.h
@@ -66,6 +66,9 @@
 json_t *ft_row_job (const char *state, guint tasks);
 /* "open", "done", "cancelled" or NULL; static. */
 const char *ft_row_job_state (const json_t *value, guint *tasks);
+/* The mark of a withdrawal, with the wall time of its commit; 0: it does not say. */
+json_t *ft_row_withdrawn (gint64 wall_ms);
+gint64 ft_row_withdrawn_at (const json_t *value);
 json_t *ft_row_open (const FtJobSpec *spec);
 /* The revision of the job's own row, on which its end is conditional: the index row
  * is written with it, and again whenever the mark is raised. */
--- a/tests/sim/checker.cpp
+++ b/tests/sim/checker.cpp
@@ -36,6 +36,11 @@
   check_zone (ref, job, where);
   if (job.cancel_told && now > *job.cancel_told + cancel_)
     fail ("ran_cancelled", name + " starts after its cancellation");
+  if (job.cancel_told) {
+    job.started_cancelled++;
+    job.last_start_cancelled = std::max (job.last_start_cancelled, now - *job.cancel_told);
+  }
+  job.could_run.reset ();
   spots.push_back (where);
   used_[job.team] += job.cpus;
   if (used_[job.team] > limits_[job.team] + 1e-6)
@@ -53,6 +58,49 @@
   used_[jobs_[ref].team] -= jobs_[ref].cpus;
 }
 
+void
+Checker::finished (const std::string &ref, guint index)
+{
+  Job &job = jobs_[ref];
+  bool last = job.done.insert (index).second && job.done.size () == job.tasks;
+  if (last && on_last_task)
+    on_last_task (ref);
+}
+
+guint
+Checker::live (const std::string &ref) const
+{
+  guint n = 0;
+  for (auto it = where_.lower_bound ({ ref, 0 }); it != where_.end () && it->first.first == ref; ++it)
+    n += (guint) it->second.size ();
+  return n;
+}
+
+guint
+Checker::live_in (const std::string &ref, const std::string &zone) const
+{
+  guint n = 0;
+  for (auto it = where_.lower_bound ({ ref, 0 }); it != where_.end () && it->first.first == ref; ++it)
+    for (const Spot &spot : it->second)
+      n += spot.zone == zone;
+  return n;
+}
+
+// Once all troubles are over, a job that could run is not left waiting for 90 s.
+void
+Checker::waits (Time now, const std::string &ref, bool could)
+{
+  Job &job = jobs_[ref];
+  if (!could || !calm_) {
+    job.could_run.reset ();
+    return;
+  }
+  if (!job.could_run)
+    job.could_run = now;
+  if (now - *job.could_run > 90 * kSecond)
+    fail ("waiting", ref + " could run and waits");
+}
+
 void
 Checker::told (Time now, const std::string &ref, const std::string &state)
 {
@@ -68,6 +116,8 @@
     return;
   }
   job.accepted = true;
+  if (!job.can_run)
+    fail ("accepted", ref + " can never run, or lacks a field");
   if (state == "done" && job.done.size () < job.tasks)
     fail ("not_done", ref + " with " + std::to_string (job.done.size ()) + " tasks done");
   if (!job.final_told.empty () && job.final_told != state)
@@ -112,7 +162,7 @@
     if (now <= *jobs_[ref].cancel_told + cancel_)
       continue;
     for (auto it = where_.lower_bound ({ ref, 0 }); it != where_.end () && it->first.first == ref; ++it)
-      if (!it->second.empty ())
+      if (!it->second.empty () && overdue_.insert (ref).second)
         fail ("ran_cancelled", ref + " is still on " + it->second[0].machine);
   }
 }
--- a/tests/sim/node.cpp
+++ b/tests/sim/node.cpp
@@ -3,6 +3,8 @@
 
 extern "C" {
 #include "core/constants.h"
+#include "core/admission.h"
+#include "wire/messages.h"
 #include "wire/store.h"
 }
 
@@ -18,6 +20,8 @@
   life_++;
   alive = true;
   rate_ = world_.uniform (0.9995, 1.0005);
+  if (world_.extreme_clocks)
+    rate_ = world_.chance (0.5) ? 0.9995 : 1.0005;
   offset_ = (Time) (world_.uniform (1, 5000) * kSecond);
   const FtSettings &s = world_.settings;
   hold_ = ft_tuning_hold (&s);
@@ -67,25 +71,116 @@
     reply (status, body.get ());
   };
   world_.deliver (name (), "store", [this, what, finish] {
-    std::pair<guint, json_t *> answer = world_.store.down ? std::make_pair (503u, (json_t *) nullptr) : what ();
+    std::pair<guint, json_t *> answer = refused () ? std::make_pair (503u, (json_t *) nullptr) : what ();
     std::shared_ptr<json_t> body (answer.second, json_decref);
-    world_.deliver ("store", name (), [finish, answer, body] { finish (answer.first, body); });
+    Time slow = world_.chance (world_.slow_store) ? (Time) (world_.uniform (0.3, 3) * kSecond) : 0;
+    world_.after (slow, [this, finish, answer, body] {
+      world_.deliver ("store", name (), [finish, answer, body] { finish (answer.first, body); });
+    });
   });
   later ((Time) (FT_STATE_TIMEOUT_S * kSecond), [finish] { finish (0, nullptr); });
 }
 
+bool
+Node::refused () const
+{
+  return world_.store.down || world_.now < refused_until;
+}
+
+bool
+Node::served () const
+{
+  auto cut = world_.cuts.find ({ name (), "store" });
+  return alive && !refused () && world_.now >= frozen_until && (cut == world_.cuts.end () || cut->second <= world_.now);
+}
+
 void
 Node::commit (json_t *txn, Reply reply)
 {
   std::shared_ptr<json_t> owned (txn, json_decref);
+  // Without an answer, and applied after newer ones of the same controller.
+  if (!refused () && world_.chance (world_.late_writes)) {
+    world_.after ((Time) (world_.uniform (2, 12) * kSecond), [this, owned] {
+      auto [status, body] = world_.store.commit (owned.get ());
+      world_.late_applied += status == 200;
+      json_decref (body);
+    });
+    guint64 life = life_;
+    later ((Time) (FT_STATE_TIMEOUT_S * kSecond), [this, life, reply] {
+      if (life == life_)
+        reply (0, nullptr);
+    });
+    return;
+  }
   ask_store ([this, owned] { return world_.store.commit (owned.get ()); }, reply);
 }
 
+// An open watch waits while the state service refuses its controller, as in an outage.
+void
+Node::await_change (const std::string &prefix, guint64 since, Time until,
+                    std::function<void (guint, std::shared_ptr<json_t>)> finish)
+{
+  if (!refused () && (world_.now >= until || world_.store.changed (prefix, since))) {
+    auto answer = world_.store.follow (prefix, since);
+    std::shared_ptr<json_t> body (answer.second, json_decref);
+    world_.deliver ("store", name (), [finish, answer, body] { finish (answer.first, body); });
+    return;
+  }
+  world_.after (kSecond / 20, [this, prefix, since, until, finish] { await_change (prefix, since, until, finish); });
+}
+
+void
+Node::ask_watch (const std::string &prefix, guint64 since, Reply reply)
+{
+  auto done = std::make_shared<bool> (false);
+  guint64 life = life_;
+  auto finish = [this, done, life, reply] (guint status, std::shared_ptr<json_t> body) {
+    if (*done || life != life_)
+      return;
+    *done = true;
+    reply (status, body.get ());
+  };
+  world_.deliver (name (), "store", [this, prefix, since, finish, done] {
+    if (refused ()) {
+      world_.deliver ("store", name (), [finish] { finish (503, nullptr); });
+      return;
+    }
+    await_change (prefix, since, world_.now + (Time) (FT_WATCH_S * kSecond), finish);
+  });
+  later ((Time) ((FT_WATCH_S + FT_WATCH_SLACK_S) * kSecond), [finish] { finish (0, nullptr); });
+}
+
+// What it has committed itself its own scheduler hears at once, the others by the mesh.
+void
+Node::confirmed (const std::string &ref)
+{
+  auto hear = [this, ref] (Node *node) {
+    if (node->alive && node->leads ())
+      ft_scheduler_job_withdrawn (node->scheduler (), ref.c_str (), 0, node->clock ());
+  };
+  if (!world_.hints)
+    return;
+  hear (this);
+  for (auto &peer : world_.nodes)
+    if (peer.get () != this)
+      world_.deliver (name (), peer->name (), [hear, node = peer.get ()] { hear (node); });
+}
+
 void
 Node::lease_tick ()
 {
   Time now = clock ();
   ft_lease_tick (lease_.get (), now);
+  // Refused alone for two seconds, it starts nothing more, and its peers look at once.
+  if (now_refused_ == 0 || world_.now >= refused_until)
+    now_refused_ = world_.now < refused_until ? world_.now : 0;
+  if (now_refused_ > 0 && world_.hints && !world_.store.down && world_.now - now_refused_ > 2 * kSecond
+      && ft_lease_state (lease_.get ()) == FT_LEASE_HOLDING) {
+    ft_lease_cede (lease_.get (), now);
+    for (auto &peer : world_.nodes)
+      if (peer.get () != this && peer->alive)
+        ft_lease_suspect (peer->lease_.get (), name ().c_str (), TRUE, peer->clock ());
+  }
   // A wrong hint now and then: the holder may be alive and well.
   const char *holder = ft_lease_holder (lease_.get ());
   if (holder != nullptr && world_.peers_refuse)
@@ -155,12 +250,13 @@
   scheduler_.reset (ft_scheduler_new (&world_.settings, world_.catalog, ft_lease_token (lease_.get ()), hold_, now,
                                       (guint32) world_.below (1 << 30)));
   world_.takeovers++;
+  if (world_.on_takeover)
+    world_.on_takeover (*this);
   journal_stamp_ = stamp;
   batch_ = 0;
   batching_ = renewing_ = watching_ = cloud_busy_ = false;
-  last_watch_ = now;
   next_list_ = now;
-  load (FT_PREFIX_OPEN, "");
+  load (FT_PREFIX_OPEN, "", clock ());
 }
 
 void
@@ -182,7 +278,7 @@
     if (row->value == nullptr)
       return;
     if (withdrawn)
-      ft_scheduler_job_withdrawn (s, ref, now);
+      ft_scheduler_job_withdrawn (s, ref, (wall - ft_row_withdrawn_at (row->value)) * 1000, now);
     else if (ft_scheduler_is_loaded (s))
       ft_scheduler_job_added (s, ft_row_open_parse (ref, row->value), ft_row_open_stamp (row), now, wall);
     else
@@ -195,18 +291,18 @@
 }
 
 void
-Node::load (const std::string &prefix, const std::string &after)
+Node::load (const std::string &prefix, const std::string &after, Time began)
 {
   guint64 term = term_;
   // Pages are small, so that they are crossed all the time.
   ask_store ([this, prefix, after] { return world_.store.list (prefix, after, 7); },
-             [this, prefix, after, term] (guint status, const json_t *body) {
+             [this, prefix, after, term, began] (guint status, const json_t *body) {
                if (term != term_)
                  return;
                gboolean more = FALSE;
                g_autoptr (GArray) rows = status == 200 ? ft_store_rows (body, &more) : nullptr;
                if (rows == nullptr) {
-                 load (prefix, after);
+                 load (prefix, after, began);
                  return;
                }
                if (prefix == FT_PREFIX_OPEN && after.empty ())
@@ -214,12 +310,13 @@
                for (guint i = 0; i < rows->len; i++)
                  load_row (scheduler_.get (), &g_array_index (rows, FtRow, i), clock (), world_.now / 1000);
                if (more)
-                 load (prefix, g_array_index (rows, FtRow, rows->len - 1).key);
-               else if (prefix == FT_PREFIX_OPEN)
-                 load (FT_PREFIX_DONE, "");
+                 load (prefix, g_array_index (rows, FtRow, rows->len - 1).key, began);
                else if (prefix == FT_PREFIX_DONE)
-                 load (FT_PREFIX_ROSTER, "");
-               else
+                 load (FT_PREFIX_ROSTER, "", clock ());
+               else if (prefix == FT_PREFIX_OPEN) {
+                 ft_lease_knows (lease_.get (), began); // the pages differ in age
+                 load (FT_PREFIX_DONE, "", clock ());
+               } else
                  ft_scheduler_loaded (scheduler_.get (), clock ());
              });
 }
@@ -232,23 +329,22 @@
   watching_ = true;
   guint64 term = term_;
   Time sent = clock ();
-  ask_store ([this] { return world_.store.follow (FT_PREFIX_OPEN, watch_since_); },
-             [this, term, sent] (guint status, const json_t *body) {
-               if (term != term_)
-                 return;
-               g_autoptr (GArray) rows = status == 200 ? ft_store_events (body) : nullptr;
-               if (rows != nullptr) {
-                 ft_store_revision (body, &watch_since_);
-                 last_watch_ = std::max (last_watch_, sent);
-                 for (guint i = 0; i < rows->len; i++)
-                   load_row (scheduler_.get (), &g_array_index (rows, FtRow, i), clock (), world_.now / 1000);
-                 pump ();
-               }
-               later (kSecond / 4, [this, term] {
-                 if (term == term_)
-                   watching_ = false;
-               });
-             });
+  ask_watch (FT_PREFIX_OPEN, watch_since_, [this, term, sent] (guint status, const json_t *body) {
+    if (term != term_)
+      return;
+    g_autoptr (GArray) rows = status == 200 ? ft_store_events (body) : nullptr;
+    if (rows != nullptr) {
+      ft_store_revision (body, &watch_since_);
+      for (guint i = 0; i < rows->len; i++)
+        load_row (scheduler_.get (), &g_array_index (rows, FtRow, i), clock (), world_.now / 1000);
+      ft_lease_knows (lease_.get (), sent);
+      pump ();
+    }
+    later (kSecond / 4, [this, term] {
+      if (term == term_)
+        watching_ = false;
+    });
+  });
 }
 
 Node::Answer
@@ -257,7 +353,7 @@
   Answer a;
   Time now = clock ();
   a.status = 421;
-  if (scheduler_ == nullptr || !ft_lease_may_answer (lease_.get (), now, last_watch_)) {
+  if (scheduler_ == nullptr || !ft_lease_may_answer (lease_.get (), now)) {
     const char *holder = ft_lease_holder (lease_.get ());
     if (holder != nullptr && name () != holder)
       a.answers_to = holder[strlen (holder) - 1] - '0';
@@ -269,6 +365,7 @@
   }
   ft_scheduler_place (scheduler_.get (), now, ft_lease_may_start (lease_.get (), now));
   a.status = 200;
+  answers++;
   a.token = ft_lease_token (lease_.get ());
   a.orders = std::shared_ptr<GArray> (ft_scheduler_answer (scheduler_.get (), report, now),
                                       [] (GArray *x) { g_array_unref (x); });
@@ -377,11 +474,13 @@
       else
         pump ();
     };
-    world_.deliver (name (), direct->machine, [this, direct, token, finish] {
+    Time held = world_.chance (world_.late_directs) ? (Time) (world_.uniform (2, 20) * kSecond) : 0;
+    auto arrive = [this, direct, token, finish, held] {
       auto it = world_.machines.find (direct->machine);
       if (it == world_.machines.end () || !it->second->up)
         return;
       auto [status, report] = it->second->commands (token, direct->session, direct->commands);
+      world_.late_executed += held > 0 && status == 200 && direct->commands->len > 0;
       if (status == 200 && world_.chance (world_.copies)) {
         auto worker = it->second;
         world_.after ((Time) (world_.uniform (1, 1.5 * world_.settings.lease_s) * kSecond), [worker, direct, token] {
@@ -392,7 +491,9 @@
       std::shared_ptr<FtReport> shared (report, ft_report_free);
       guint code = status;
       world_.deliver (direct->machine, name (), [finish, code, shared] { finish (code, shared); });
-    });
+    };
+    World &world = world_;
+    world_.after (held, [&world, from = name (), direct, arrive] { world.deliver (from, direct->machine, arrive); });
     later ((Time) (FT_COMMAND_TIMEOUT_S * kSecond), [finish] { finish (0, nullptr); });
   }
 }
@@ -492,8 +593,7 @@
   ft_scheduler_place (scheduler_.get (), clock (), ft_lease_may_start (lease_.get (), clock ()));
   commit_batch ();
   send_directs ();
-  if (ft_lease_may_start (lease_.get (), clock ()))
-    call_cloud ();
+  call_cloud ();
 }
 
 void
@@ -578,12 +678,15 @@
 World::poll (const std::string &ref)
 {
   // Some node is asked; one that cannot read the store says so.
-  const Node &asked = *nodes[below (3)];
-  auto cut = cuts.find ({ asked.name (), "store" });
-  bool served = !store.down && asked.alive && now >= asked.frozen_until && (cut == cuts.end () || cut->second <= now);
+  bool served = nodes[below (3)]->served ();
   checker->asked (now, ref, served);
-  if (!served)
-    return;
+  if (served)
+    tell (ref);
+}
+
+void
+World::tell (const std::string &ref)
+{
   g_autofree char *key = ft_key_job (ref.c_str ());
   auto [status, body] = store.get (key);
   guint tasks;
@@ -596,7 +699,8 @@
 World::withdraw (const std::string &ref)
 {
   checker->cancel_asked (ref);
-  if (store.down) {
+  Node &asked = *nodes[below (3)];
+  if (!asked.served ()) {
     after (kSecond, [this, ref] { withdraw (ref); });
     return;
   }
@@ -608,14 +712,107 @@
     json_t *txn = ft_txn_new ();
     ft_txn_if (txn, key, row.stamp);
     ft_txn_put (txn, key, ft_row_job ("cancelled", tasks));
-    ft_txn_put (txn, mark, json_object ());
-    auto [code, answer] = store.commit (txn);
-    (void) code;
-    json_decref (answer);
-    json_decref (txn);
+    ft_txn_put (txn, mark, ft_row_withdrawn (now / 1000));
+    std::shared_ptr<json_t> owned (txn, json_decref);
+    json_decref (body);
+    auto apply = [this, owned] {
+      auto [code, answer] = store.commit (owned.get ());
+      json_decref (answer);
+      return code;
+    };
+    if (chance (late_writes)) {
+      after ((Time) (uniform (2, 12) * kSecond), [this, apply] { late_applied += apply () == 200; });
+      after (kSecond, [this, ref] { withdraw (ref); });
+      return;
+    }
+    if (apply () == 200)
+      asked.confirmed (ref);
+  } else {
+    json_decref (body);
   }
-  json_decref (body);
-  poll (ref);
+  checker->asked (now, ref, true);
+  tell (ref);
+}
+
+// ---- submissions that can never run, or lack a field ----
+
+bool
+World::odd_request (const std::string &ref)
+{
+  static const char *const needed[]
+      = { "ref",    "lane",    "crew",     "shape", "urgency", "pieces",  "cores",      "cards",   "mem_gb",
+          "bundle", "pull_gb", "one_zone", "apart", "loaners", "guess_s", "bookmark_s", "shelve_s" };
+  std::shared_ptr<json_t> body (
+      json_pack ("{s:s, s:s, s:s, s:s, s:s, s:i, s:f, s:f, s:f, s:s, s:f, s:b, s:b, s:b, s:f, s:f, s:f}", "ref",
+                 ref.c_str (), "lane", "sim", "crew", "red", "shape", "array", "urgency", "high", "pieces", 2, "cores",
+                 2.0, "cards", 0.0, "mem_gb", 2.0, "bundle", "img-1", "pull_gb", 1.0, "one_zone", 0, "apart", 0,
+                 "loaners", 1, "guess_s", 5.0, "bookmark_s", 0.0, "shelve_s", 0.0),
+      json_decref);
+  switch (below (4)) {
+  case 0:
+    json_object_del (body.get (), needed[below (G_N_ELEMENTS (needed))]);
+    break;
+  case 1:
+    json_object_set_new (body.get (), "crew", json_string ("nobody"));
+    break;
+  case 2:
+    json_object_set_new (body.get (), "cores", json_real (16.5));
+    break; // no machine is as large
+  case 3:
+    json_object_set_new (body.get (), "mem_gb", json_real (65));
+    break;
+  }
+  const char *why;
+  g_autoptr (FtJobSpec) spec = ft_message_job (body.get ());
+  if (spec == nullptr || ft_admission_check (&settings, catalog, spec, &why) != FT_ADMIT)
+    return false;
+  Checker::Job job;
+  job.can_run = false;
+  checker->submitted (ref, job);
+  checker->told (now, ref, "queued");
+  return true;
+}
+
+// ---- jobs that wait although they could run ----
+
+bool
+World::could_run (const std::string &ref, const Checker::Job &job) const
+{
+  std::map<std::string, double> used;
+  guint placed = 0;
+  for (const auto &[name, worker] : machines)
+    for (const TaskOn &t : worker->tasks_)
+      if (worker->alive && t.state != FT_REPORTED_EXITED) {
+        used[checker->jobs ().at (t.job).team] += checker->jobs ().at (t.job).cpus;
+        placed += t.job == ref;
+      }
+  if (placed + job.done.size () >= job.tasks)
+    return false;
+  for (guint i = 0; i < settings.n_teams; i++)
+    if (job.team == settings.teams[i].name && used[job.team] + job.cpus > settings.teams[i].cpus_max + 1e-6)
+      return false;
+  for (const auto &[name, w] : machines) {
+    if (!w->alive || !w->up || now < std::max ({ w->hung_until, w->deaf_until, w->mute_until }) || failing.count (name)
+        || (w->spot && !job.spot) || (!job.zone.empty () && job.zone != w->zone))
+      continue;
+    guint here = checker->live_in (ref, w->zone), all = checker->live (ref);
+    if ((job.one_zone && here < all) || (job.spread && here + 1 > (job.tasks + 1) / 2))
+      continue;
+    double taken = 0;
+    for (const TaskOn &t : w->tasks_)
+      taken += t.state != FT_REPORTED_EXITED ? checker->jobs ().at (t.job).cpus : 0;
+    if (taken + job.cpus <= 16 + 1e-6)
+      return true;
+  }
+  return false;
+}
+
+void
+World::look_at_waiting ()
+{
+  for (const auto &[ref, job] : checker->jobs ())
+    if (job.accepted && !job.cancel_asked && job.final_told.empty ())
+      checker->waits (now, ref, could_run (ref, job));
 }
 
 } // namespace sim
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -130,6 +130,13 @@
   tasks_.clear ();
 }
 
+bool
+Worker::runs (const std::string &ref) const
+{
+  return std::any_of (tasks_.begin (), tasks_.end (),
+                      [&] (const TaskOn &t) { return t.job == ref && t.state == FT_REPORTED_RUNNING; });
+}
+
 void
 Worker::die ()
 {
@@ -309,10 +316,21 @@
   auto self = world_.machines[name];
   std::string node = "node-" + std::to_string (node_);
   Node *target = world_.nodes[node_].get ();
-  world_.deliver (name, node, [this, self, r, sent, done, target, node] {
+  if (sent < mute_until) {
+    world_.after (kSecond / 2, [this, self, sent, done, r] {
+      if (*done || !alive)
+        return;
+      *done = true;
+      answered (sent, r->session, false, 0, 0, nullptr, -1);
+    });
+    return;
+  }
+  guint led = world_.takeovers;
+  world_.deliver (name, node, [this, self, r, sent, done, target, node, led] {
     Node::Answer a;
     if (target->alive)
       a = target->report (r.get ());
+    world_.reports_after_takeover += a.status == 200 && world_.takeovers > led;
     world_.deliver (node, name, [this, self, r, sent, done, a] {
       if (*done || !alive || world_.now < hung_until)
         return;
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -41,6 +41,10 @@
     std::string final_told;
     Time submitted = 0;
     std::optional<Time> begun, answered; // first start; last answer to a question
+    std::optional<Time> could_run;       // since then it waits although it could run
+    bool can_run = true;                 // as PROTOCOL says; else no acceptance is right
+    guint started_cancelled = 0;         // starts after its user was told that it is cancelled
+    Time last_start_cancelled = 0;       // how long after that, at most
   };
   struct Spot {
     std::string machine, zone;
@@ -56,11 +60,15 @@
   }
   void on (Time now, const std::string &ref, guint index, Spot where);
   void off (const std::string &ref, guint index, const std::string &machine);
-  void
-  finished (const std::string &ref, guint index)
-  {
-    jobs_[ref].done.insert (index);
-  }
+  void finished (const std::string &ref, guint index);
+  // Called when the last task of a job has ended, before anybody knows.
+  std::function<void (const std::string &ref)> on_last_task;
+  // Tasks of the job on machines, and how many of them are in that zone.
+  guint live (const std::string &ref) const;
+  guint live_in (const std::string &ref, const std::string &zone) const;
+  // Whether the job waits although a machine that fits has room and its team is
+  // under its limit; looked at every few seconds.
+  void waits (Time now, const std::string &ref, bool could_run);
   void
   cancel_asked (const std::string &ref)
   {
@@ -92,6 +100,16 @@
   {
     return broken_;
   }
+  // Starts of jobs whose users had been told that they are cancelled, and the
+  // longest time after that; the protocol counts them.
+  guint
+  started_cancelled () const
+  {
+    guint n = 0;
+    for (const auto &[ref, job] : jobs_)
+      n += job.started_cancelled;
+    return n;
+  }
   guint
   starts () const
   {
@@ -117,6 +135,7 @@
   std::optional<Time> calm_;
   std::map<std::string, Job> jobs_;
   std::set<std::string> cancelled_; // told so
+  std::set<std::string> overdue_;   // of them, those that were still on a machine too late
   std::map<std::pair<std::string, guint>, std::vector<Spot> > where_;
   std::vector<std::string> broken_;
   guint starts_ = 0;
@@ -175,13 +194,21 @@
   {
     deaf_until = until;
   }
+  // It can open no connection to a controller, while /commands reaches it.
+  void
+  mute (Time until)
+  {
+    mute_until = until;
+  }
   FtReport *report ();
   // /commands: status and report
   std::pair<guint, FtReport *> commands (guint64 token, guint64 session, const GArray *orders);
+  // A task of the job has its image here.
+  bool runs (const std::string &ref) const;
   bool alive = true, up = false;
   std::string name, zone;
   bool spot;
-  Time hung_until = 0, deaf_until = 0;
+  Time hung_until = 0, deaf_until = 0, mute_until = 0;
 
 private:
   friend class World;
@@ -257,6 +284,10 @@
                bool spread, bool spot);
   void withdraw (const std::string &ref);
   void poll (const std::string &ref);
+  // A submission that can never run, or lacks a field; true: it was accepted.
+  bool odd_request (const std::string &ref);
+  // Looks for jobs that wait although they could run.
+  void look_at_waiting ();
 
   // By its name; NULL: it is no controller's.
   Node *node (const std::string &name);
@@ -267,8 +298,17 @@
   bool peers_refuse = false; // controllers refuse each other's connections
   double boot_fail = 0;      // share of machines that never come up, and of those that are late
   guint takeovers = 0;
-  double copies = 0;        // share of reports and commands of which a copy comes late
-  guint most_machines = 14; // that the cloud has
+  std::function<void (Node &)> on_takeover; // it has claimed, and has read nothing yet
+  double late_writes = 0;                   // share of transactions without answer, applied 2 to 12 s later
+  guint late_applied = 0;                   // of them, those that were applied
+  double slow_store = 0;                    // share of the state service's answers that take up to 3 s
+  double late_directs = 0;                  // share of direct commands that arrive 2 to 20 s late
+  guint late_executed = 0;                  // of them, those that a worker executed
+  guint reports_after_takeover = 0;         // reports sent to a former leader that reached a newer one
+  bool hints = true;                        // controllers tell each other of withdrawals
+  bool extreme_clocks = false;              // steady clocks at the limits of their drift
+  double copies = 0;                        // share of reports and commands of which a copy comes late
+  guint most_machines = 14;                 // that the cloud has
   Time worker_step = kSecond / 10;
   Store store;
   FtSettings settings{};
@@ -285,6 +325,8 @@
   guint alive_machines () const;
 
 private:
+  void tell (const std::string &ref);
+  bool could_run (const std::string &ref, const Checker::Job &job) const;
   struct Event {
     Time when;
     guint64 order;
@@ -319,6 +361,12 @@
   }
   bool alive = false;
   Time frozen_until = 0;
+  Time refused_until = 0; // the state service refuses this one alone
+  // The state service would answer it now.
+  bool served () const;
+  // It has committed a withdrawal.
+  void confirmed (const std::string &ref);
+  guint answers = 0; // reports answered with 200
   // Serves a worker's report: status, token, commands, leader to go to.
   struct Answer {
     guint status = 0;
@@ -363,9 +411,14 @@
   void tick ();
   void later (Time delay, std::function<void ()> what);
   void lease_tick ();
+  bool refused () const;
   void ask_store (std::function<std::pair<guint, json_t *> ()> what, Reply reply);
+  void ask_watch (const std::string &prefix, guint64 since, Reply reply);
+  void await_change (const std::string &prefix, guint64 since, Time until,
+                     std::function<void (guint, std::shared_ptr<json_t>)> finish);
   void commit (json_t *txn, Reply reply);
-  void load (const std::string &prefix, const std::string &after);
+  // `began`: when the first page was asked for.
+  void load (const std::string &prefix, const std::string &after, Time began);
   void begin (guint64 stamp);
   void step_down ();
   void pump ();
@@ -385,7 +438,7 @@
   std::unique_ptr<FtScheduler, SchedulerFree> scheduler_;
   guint64 journal_stamp_ = 0, batch_ = 0, watch_since_ = 0;
   bool sweeping_ = false, renewing_ = false, batching_ = false, watching_ = false, cloud_busy_ = false;
-  Time last_watch_ = 0, hold_ = 0, next_list_ = 0;
+  Time hold_ = 0, next_list_ = 0, now_refused_ = 0;
 };
 
 } // namespace sim
--- a/tests/test_units.cpp
+++ b/tests/test_units.cpp
@@ -131,20 +131,77 @@
   l.see (0, 0, nullptr, 0, 0);
   ft_lease_claim (l.lease, 0);
   ft_lease_acquired (l.lease, 1 * kS, 10);
+  ft_lease_knows (l.lease, 8 * kS);
   EXPECT_TRUE (ft_lease_may_start (l.lease, 9 * kS));
   EXPECT_FALSE (ft_lease_may_start (l.lease, 10 * kS));
   ft_lease_tick (l.lease, 10 * kS);
   EXPECT_EQ (ft_lease_state (l.lease), FT_LEASE_LAPSED);
   // A lapsed holder answers reports for the hold, counted from the older contact.
-  EXPECT_TRUE (ft_lease_may_answer (l.lease, 18 * kS, 18 * kS));
-  EXPECT_FALSE (ft_lease_may_answer (l.lease, 19 * kS, 18 * kS));
-  EXPECT_FALSE (ft_lease_may_answer (l.lease, 18 * kS, 0));
+  ft_lease_knows (l.lease, 18 * kS);
+  EXPECT_TRUE (ft_lease_may_answer (l.lease, 18 * kS));
+  EXPECT_FALSE (ft_lease_may_answer (l.lease, 19 * kS));
   // Nobody acquired in between: the renewal makes it go on.
   ft_lease_renewed (l.lease, 17 * kS);
   EXPECT_TRUE (ft_lease_may_start (l.lease, 20 * kS));
   ft_lease_lost (l.lease, 21 * kS);
   EXPECT_FALSE (ft_lease_may_start (l.lease, 21 * kS));
-  EXPECT_FALSE (ft_lease_may_answer (l.lease, 21 * kS, 21 * kS));
+  EXPECT_FALSE (ft_lease_may_answer (l.lease, 21 * kS));
+}
+
+// Its answers would keep tasks alive that were withdrawn before it was the holder.
+TEST (Lease, ANewHolderAnswersNobodyBeforeItHasReadTheWithdrawals)
+{
+  Lease l;
+  l.see (0, 4, "me", 10, 20);
+  for (guint64 stamp : { 30u, 40u }) { // again after each acquisition
+    ft_lease_claim (l.lease, 0);
+    ft_lease_acquired (l.lease, 0, stamp);
+    EXPECT_FALSE (ft_lease_may_answer (l.lease, kS));
+    EXPECT_FALSE (ft_lease_may_start (l.lease, kS));
+    ft_lease_knows (l.lease, kS);
+    EXPECT_TRUE (ft_lease_may_answer (l.lease, 2 * kS));
+    EXPECT_TRUE (ft_lease_may_start (l.lease, 2 * kS));
+    ft_lease_lost (l.lease, 3 * kS);
+    l.see (3 * kS, 5, "me", stamp, 50);
+  }
+}
+
+// A renewal that succeeds after an outage tells nothing of the withdrawals meanwhile.
+TEST (Lease, ARenewalAloneProlongsNoHoldAndStartsNothing)
+{
+  Lease l;
+  l.see (0, 0, nullptr, 0, 0);
+  ft_lease_claim (l.lease, 0);
+  ft_lease_acquired (l.lease, 0, 10);
+  ft_lease_knows (l.lease, 2 * kS);
+  ft_lease_tick (l.lease, 10 * kS);
+  ft_lease_renewed (l.lease, 30 * kS);
+  EXPECT_EQ (ft_lease_state (l.lease), FT_LEASE_HOLDING);
+  EXPECT_FALSE (ft_lease_may_start (l.lease, 31 * kS));
+  EXPECT_FALSE (ft_lease_may_answer (l.lease, 31 * kS));
+  ft_lease_knows (l.lease, 31 * kS);
+  EXPECT_TRUE (ft_lease_may_start (l.lease, 32 * kS));
+  EXPECT_TRUE (ft_lease_may_answer (l.lease, 32 * kS));
+  // An answer that comes late, of a request sent before, takes nothing back.
+  ft_lease_knows (l.lease, 5 * kS);
+  EXPECT_TRUE (ft_lease_may_start (l.lease, 32 * kS));
+}
+
+TEST (Lease, ACedingHolderStartsNothingAndAnswersUntilItsHoldIsOver)
+{
+  Lease l;
+  l.see (0, 0, nullptr, 0, 0);
+  ft_lease_claim (l.lease, 0);
+  ft_lease_acquired (l.lease, 0, 10);
+  ft_lease_knows (l.lease, kS);
+  ft_lease_cede (l.lease, 2 * kS);
+  EXPECT_EQ (ft_lease_state (l.lease), FT_LEASE_LAPSED);
+  EXPECT_FALSE (ft_lease_may_start (l.lease, 2 * kS));
+  EXPECT_TRUE (ft_lease_may_answer (l.lease, 17 * kS));
+  EXPECT_FALSE (ft_lease_may_answer (l.lease, 18 * kS));
+  // Nobody has taken the lease and the store is back: it goes on.
+  ft_lease_renewed (l.lease, 4 * kS);
+  EXPECT_TRUE (ft_lease_may_start (l.lease, 5 * kS));
 }
 
 TEST (Lease, ASuspectedHolderIsTakenOverOnlyIfItsRowsStandStill)
@@ -531,7 +588,7 @@
   ASSERT_EQ (count (starts, FT_COMMAND_START), 2u);
   guint64 id = g_array_index (starts, FtCommand, 0).attempt;
   ft_scheduler_tick (b.s, 102 * kS, FALSE);
-  ft_scheduler_job_withdrawn (b.s, "req-1", 102 * kS);
+  ft_scheduler_job_withdrawn (b.s, "req-1", 0, 102 * kS);
   g_autoptr (FtReport) r = b.report (1, 3, 3);
   FtReportedTask t
       = { g_strdup ("req-1"), g_array_index (starts, FtCommand, 0).index, id, FT_REPORTED_RUNNING, FT_WHY_NONE, FALSE };
@@ -912,11 +969,13 @@
   l.see (0, 0, nullptr, 0, 0);
   ft_lease_claim (l.lease, 0);
   ft_lease_acquired (l.lease, 0, 10);
+  ft_lease_knows (l.lease, 9 * kS);
   ft_lease_set_times (l.lease, 18 * kS, kS, 0.25, 3);
   EXPECT_FALSE (ft_lease_may_start (l.lease, 10 * kS));
   ft_lease_renew_sent (l.lease, 8 * kS);
   ft_lease_set_times (l.lease, 30 * kS, kS, 0.25, 3);
   ft_lease_renewed (l.lease, 8 * kS);
+  ft_lease_knows (l.lease, 24 * kS);
   EXPECT_TRUE (ft_lease_may_start (l.lease, 25 * kS));
   EXPECT_FALSE (ft_lease_may_start (l.lease, 26 * kS));
 }
