Without the store for half of cancel_s, silent machines go; a leader that answered nobody judges no machine

It now gives silent machines with work back once it has seen no withdrawals for half of cancel_s, while it hears two machines for each it does not: one that is cut off itself gives back nothing.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -148,6 +148,9 @@
 /* Share of cancel_s after which a machine that cannot be asked, and may hold a withdrawn
  * task, is returned whatever the bound on returns: the rest is for the cloud. */
 #define FT_WITHDRAWN_MOST 0.5
+/* Machines heard for each one that is not, for a leader without the store to conclude
+ * that the machine, not itself, is cut off. */
+#define FT_BLIND_HEARD 2
 /* Share of an image's fetch that is still to come, in the mean, if it has begun. */
 #define FT_SCORE_FETCHING 0.8
 /* What a machine left wholly empty and an ordinary machine weigh in the choice of
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -334,8 +334,7 @@
   }
   guint most = MAX (FT_SILENT_RETURN_MIN, (guint) (FT_SILENT_RETURN_SHARE * (up + lost)));
   gint64 long_silent = (gint64) (2 * s->settings->lease_s * FT_SECOND);
-  return (lost <= up || s->now - MAX (machine->last_checkin, s->hearing_since) > long_silent)
-         && s->silent_returned < most;
+  return (lost <= up || s->now - ft_machine_unreported_since (s, machine) > long_silent) && s->silent_returned < most;
 }
 
 static gboolean
@@ -351,7 +350,7 @@
 mute_long (const FtScheduler *s, const FtMachine *m)
 {
   double lease = s->settings->lease_s * (1 + FT_CLOCK_DRIFT) + FT_WORKER_LEASE_MARGIN_S;
-  return ft_machine_mute (s, m) && s->now - MAX (m->last_checkin, s->hearing_since) > (gint64) (lease * FT_SECOND);
+  return ft_machine_mute (s, m) && s->now - ft_machine_unreported_since (s, m) > (gint64) (lease * FT_SECOND);
 }
 
 /* Why a machine is of no use, and may be given up; NULL: it is of use. */
@@ -413,14 +412,25 @@
   return age;
 }
 
-/* What an unaccounted machine holds nobody knows. Given back for that alone, a cut zone
- * would go with each cancellation: not before half of the time is over. */
+/* What an unaccounted machine holds nobody knows, and without the store nobody knows what
+ * was withdrawn. Given back for that alone, a cut zone would go with each cancellation:
+ * not before half of the time is over. */
 static gboolean
 may_hold_withdrawn (const FtScheduler *s, const FtMachine *machine)
 {
-  return holds_withdrawn (machine)
-         || (!machine->accounted
-             && s->unseen_withdrawal > (gint64) (FT_WITHDRAWN_MOST * s->settings->cancel_s * FT_SECOND));
+  gint64 late = (gint64) (FT_WITHDRAWN_MOST * s->settings->cancel_s * FT_SECOND);
+  return holds_withdrawn (machine) || (!machine->accounted && s->unseen_withdrawal > late)
+         || (s->blind && !ft_machine_idle (machine));
+}
+
+/* Any task may have been withdrawn since the store was seen last, and one on a machine
+ * that hangs outlives its lease. A leader that is cut off itself hears few machines, and
+ * must not give back what its successor uses. */
+static gboolean
+is_blind (const FtScheduler *s, guint up, guint lost)
+{
+  gint64 late = (gint64) (FT_WITHDRAWN_MOST * s->settings->cancel_s * FT_SECOND);
+  return s->now - s->known_until > late && FT_BLIND_HEARD * lost <= up;
 }
 
 /* A withdrawn task whose direct start got no answer may still start, late, as
@@ -464,6 +474,7 @@
   gpointer value;
   count_heard (s, &up, &lost);
   s->unseen_withdrawal = unseen_withdrawal_age (s);
+  s->blind = is_blind (s, up, lost);
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     FtMachine *m = value;
--- a/src/core/machine.c
+++ b/src/core/machine.c
@@ -139,14 +139,20 @@
   return machine->deaf_since > 0;
 }
 
+gint64
+ft_machine_unreported_since (const FtScheduler *s, const FtMachine *machine)
+{
+  return MAX (machine->last_checkin, MAX (s->hearing_since, s->answering_since));
+}
+
 /* Commands reach it, but its reports reach nobody: whatever is started there dies with
- * its lease. Counted from its own reports alone; a controller that was late hears none. */
+ * its lease. Counted from its own reports alone, while we were there to answer them. */
 gboolean
 ft_machine_mute (const FtScheduler *s, const FtMachine *machine)
 {
   double longest = s->settings->report_s * FT_REPORT_GAP + FT_WORKER_TIMEOUT_S + FT_SILENCE_MARGIN_S;
   return machine->state == FT_MACHINE_UP
-         && s->now - MAX (machine->last_checkin, s->hearing_since) > (gint64) (longest * FT_SECOND);
+         && s->now - ft_machine_unreported_since (s, machine) > (gint64) (longest * FT_SECOND);
 }
 
 gboolean
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -175,6 +175,8 @@
   guint probes_in_flight;
   gint64 last_heard;               /* report under our token: proof that workers hear us */
   gint64 last_tick, hearing_since; /* silence before the latter proves nothing: we were late ourselves */
+  gint64 answering_since;          /* until then reports went unanswered */
+  gint64 known_until;              /* all withdrawals before that time are known */
   GQueue returning;                /* FtMachine to be returned */
   GHashTable *rows;                /* id -> FtRosterRow, owned */
   GQueue dirty_rows;               /* FtRosterRow */
@@ -188,6 +190,7 @@
   gint64 silent_window_at;
   guint silent_returned;
   gint64 unseen_withdrawal; /* age of the oldest withdrawal of which tasks may run unseen; 0: none */
+  gboolean blind;           /* so long without sight of withdrawals that silent machines must go */
   guint open_tasks;
 };
 
@@ -220,6 +223,8 @@
 guint ft_machine_room (const FtMachine *machine, const FtJobSpec *spec);
 gboolean ft_machine_deaf (const FtMachine *machine);
 gboolean ft_machine_mute (const FtScheduler *s, const FtMachine *machine);
+/* Since when it could have reported to us, and has not. */
+gint64 ft_machine_unreported_since (const FtScheduler *s, const FtMachine *machine);
 gboolean ft_machine_idle (const FtMachine *machine);
 gboolean ft_machine_allowed (const FtMachine *machine, const FtJobSpec *spec);
 FtAttempt *ft_machine_attempt (const FtMachine *machine, const char *ref, guint index, guint64 id);
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -20,7 +20,7 @@
   s->catalog = ft_catalog_ref (catalog);
   s->token = token;
   s->hold_us = hold_us;
-  s->now = s->took_over_at = now;
+  s->now = s->took_over_at = s->known_until = now;
   s->random = g_rand_new_with_seed (seed);
   s->next_attempt = s->next_booking = 1;
   ft_tuning_defaults (&s->tuning);
@@ -949,6 +949,18 @@
   s->hearing_since = now;
 }
 
+void
+ft_scheduler_informed (FtScheduler *s, gint64 at)
+{
+  s->known_until = MAX (s->known_until, at);
+}
+
+void
+ft_scheduler_unanswering (FtScheduler *s, gint64 now)
+{
+  s->answering_since = now;
+}
+
 gint64
 ft_scheduler_last_heard (const FtScheduler *s)
 {
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -123,6 +123,10 @@
 void ft_scheduler_tick (FtScheduler *s, gint64 now, gboolean may_start);
 /* Runs a placement pass if anything has changed and the last one is a while ago. */
 void ft_scheduler_place (FtScheduler *s, gint64 now, gboolean may_start);
+/* All withdrawals committed before `at` have been passed on. */
+void ft_scheduler_informed (FtScheduler *s, gint64 at);
+/* This controller answers no reports now: that none come proves nothing. */
+void ft_scheduler_unanswering (FtScheduler *s, gint64 now);
 /* This controller is behind with its reports: silence up to now proves nothing. */
 void ft_scheduler_late (FtScheduler *s, gint64 now);
 /* When a worker last showed our token; 0: none has yet. */
--- a/src/net/leader.c
+++ b/src/net/leader.c
@@ -134,13 +134,21 @@
   }
 }
 
+/* Whatever was withdrawn before `at` has been taken in. */
+static void
+know (FtNode *node, gint64 at)
+{
+  ft_lease_knows (node->lease, at);
+  ft_scheduler_informed (node->scheduler, at);
+}
+
 static void
 load_finished (FtNode *node, const char *prefix, gint64 began_at)
 {
   if (strcmp (prefix, FT_PREFIX_OPEN) == 0) {
     /* The pages differ in age, and an outage may lie between them: what is known is
      * known as of the first. What came later comes by the watch. */
-    ft_lease_knows (node->lease, began_at);
+    know (node, began_at);
   }
   if (ft_scheduler_is_loaded (node->scheduler)) {
     node->next_watch = 0;
@@ -225,7 +233,7 @@
   }
   for (guint i = 0; i < rows->len; i++)
     load_open_row (node, &g_array_index (rows, FtRow, i), TRUE);
-  ft_lease_knows (node->lease, call->sent_at);
+  know (node, call->sent_at);
   ft_node_pump (node);
 }
 
--- a/src/net/node.c
+++ b/src/net/node.c
@@ -135,10 +135,13 @@
 {
   const FtSettings *s = &node->config->core;
   gint64 gap = (gint64) ((s->report_s * FT_REPORT_GAP + FT_CUT_OFF_MARGIN_S) * FT_SECOND);
-  if (now - node->led_since < (gint64) (FT_CUT_OFF_GRACE_S * FT_SECOND))
+  /* While it answers nobody the workers ask elsewhere: after an outage a leader gave up
+   * the lease that it had just renewed, and nobody led for another takeover. */
+  gint64 answering = MAX (node->led_since, node->answering_since);
+  if (now - answering < (gint64) (FT_CUT_OFF_GRACE_S * FT_SECOND))
     return FALSE;
   /* What we did not take in while we stood still proves nothing. */
-  gint64 since = MAX (node->led_since, node->on_time_since);
+  gint64 since = MAX (answering, node->on_time_since);
   gint64 heard = MAX (since, ft_scheduler_last_heard (node->scheduler));
   return node->config->peers->len > 0 && now - heard > gap && ft_scheduler_up (node->scheduler) >= FT_CUT_OFF_MACHINES;
 }
@@ -202,6 +205,11 @@
 lease_tick (FtNode *node, gint64 now)
 {
   ft_lease_tick (node->lease, now);
+  if (!ft_lease_may_answer (node->lease, now)) {
+    node->answering_since = now;
+    if (node->scheduler != NULL)
+      ft_scheduler_unanswering (node->scheduler, now);
+  }
   if (ft_lease_sweep_due (node->lease, now) && !node->sweep_in_flight) {
     node->sweep_in_flight = TRUE;
     ft_state_list (node->state, FT_PREFIX_LEASE, NULL, FT_STATE_LEASE, on_sweep, lease_call (node));
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -45,9 +45,10 @@
   gint64 last_tick;
   gint64 next_scheduler_tick, next_list, next_catalog, next_mesh, next_batch, next_watch;
   gint64 led_since;
-  gint64 on_time_since; /* our timers were late until then */
-  gint64 overrun_since; /* reports wait too long since then; 0: they do not */
-  gint64 yielded_at;    /* when we gave the lease up; 0: never */
+  gint64 answering_since; /* workers got no answer of ours until then */
+  gint64 on_time_since;   /* our timers were late until then */
+  gint64 overrun_since;   /* reports wait too long since then; 0: they do not */
+  gint64 yielded_at;      /* when we gave the lease up; 0: never */
   FtBudget cloud_budget;
 
   GQueue reports; /* requests of workers that wait for a later turn */
--- a/tests/sim/node.cpp
+++ b/tests/sim/node.cpp
@@ -171,6 +171,8 @@
 {
   Time now = clock ();
   ft_lease_tick (lease_.get (), now);
+  if (scheduler_ != nullptr && !ft_lease_may_answer (lease_.get (), now))
+    ft_scheduler_unanswering (scheduler_.get (), now);
   // Refused alone for two seconds, it starts nothing more, and its peers look at once.
   if (now_refused_ == 0 || world_.now >= refused_until)
     now_refused_ = world_.now < refused_until ? world_.now : 0;
@@ -314,13 +316,20 @@
                else if (prefix == FT_PREFIX_DONE)
                  load (FT_PREFIX_ROSTER, "", clock ());
                else if (prefix == FT_PREFIX_OPEN) {
-                 ft_lease_knows (lease_.get (), began); // the pages differ in age
+                 know (began); // the pages differ in age
                  load (FT_PREFIX_DONE, "", clock ());
                } else
                  ft_scheduler_loaded (scheduler_.get (), clock ());
              });
 }
 
+void
+Node::know (Time at)
+{
+  ft_lease_knows (lease_.get (), at);
+  ft_scheduler_informed (scheduler_.get (), at);
+}
+
 void
 Node::watch ()
 {
@@ -337,7 +346,7 @@
       ft_store_revision (body, &watch_since_);
       for (guint i = 0; i < rows->len; i++)
         load_row (scheduler_.get (), &g_array_index (rows, FtRow, i), clock (), world_.now / 1000);
-      ft_lease_knows (lease_.get (), sent);
+      know (sent);
       pump ();
     }
     later (kSecond / 4, [this, term] {
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -427,6 +427,7 @@
   void batch_done (std::shared_ptr<GPtrArray> writes, bool applied, const char *conflicted);
   void send_directs ();
   void call_cloud ();
+  void know (Time at);
   void watch ();
   void list_machines ();
   World &world_;
--- a/tests/test_meetings.cpp
+++ b/tests/test_meetings.cpp
@@ -59,8 +59,7 @@
 {
   bool reading = false;
   Time refusal = 60 * kSecond, claimed = 0;
-  day.load_long (10, 3, 80);
-  day.load_long (20, 1, 80); // rows for several pages
+  day.load_long (10, 3, 150); // their rows are more than a page
   day.refuse_leader (refusal, 40 * kSecond);
   day.cancel_running (refusal + about (0.1, 0.6), 5);
   world.on_takeover = [&] (Node &node) {
@@ -78,10 +77,47 @@
   EXPECT_TRUE (reading) << "the outage did not fall into the reading";
 }
 
+// Its pages differ in age: it is refused between them, and the outage begins when it
+// has just read the last.
+TEST_P (Meeting, OutageRightAfterRowsWereReadInPagesOfDifferentAge)
+{
+  Time claimed = 0, read = 0, when = 60 * kSecond;
+  day.load_long (10, 3, 150);
+  world.at (when, [&] {
+    if (day.leader () != nullptr)
+      day.leader ()->crash (kSecond / 3); // it takes over from its former self
+  });
+  std::function<void (Node *)> await_read = [&] (Node *taker) {
+    if (!taker->leads ())
+      return;
+    if (!ft_scheduler_is_loaded (taker->scheduler ())) {
+      world.after (kSecond / 500, [&, taker] { await_read (taker); });
+      return;
+    }
+    read = world.now;
+    world.store.down = true;
+    world.after (cancel + 20 * kSecond, [&] { world.store.down = false; });
+  };
+  world.on_takeover = [&] (Node &node) {
+    if (claimed > 0 || world.now < when)
+      return;
+    claimed = world.now;
+    world.hints = false;
+    Node *taker = &node;
+    world.after (about (0.02, 0.06), [&, taker] { taker->refused_until = claimed + 9 * kSecond; });
+    day.cancel_running (claimed + about (0.2, 1), 6);
+    await_read (taker);
+  };
+  day.finish ();
+  ASSERT_GT (claimed, 0);
+  EXPECT_GT (read, claimed + 8 * kSecond) << "the refusal did not fall into the reading";
+  expect_confirmed (claimed, read);
+}
+
 // Cancelled tasks on machines that hang, and the leader has lost the store.
 TEST_P (Meeting, CancelledTasksHangWhileTheStoreIsOut)
 {
-  Time when = 60 * kSecond, outage = when + about (1, 4);
+  Time when = 60 * kSecond, outage = when + about (0.3, 0.8);
   guint hung = 0;
   day.load_long (10, 3, 150);
   day.cancel_running (when, 3);
@@ -92,6 +128,11 @@
         hung++;
       }
   });
+  // It stands still, so that it finds them silent only when its lease is over.
+  world.at (when + kSecond / 2, [&] {
+    if (day.leader () != nullptr)
+      day.leader ()->freeze (world.now + about (4, 7));
+  });
   day.outage (outage, cancel + 30 * kSecond);
   world.at (outage + 10 * kSecond, [&] {
     ASSERT_NE (day.leader (), nullptr);
