--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -159,6 +159,13 @@
   hung_until = until;
 }
 
+void
+Worker::mute (Time until)
+{
+  mute_since = world_.now;
+  mute_until = until;
+}
+
 FtReport *
 Worker::report ()
 {
@@ -251,6 +258,8 @@
     if (t.state == FT_REPORTED_FETCHING && world_.now >= t.at) {
       bool kept = world_.results.count (task_name (t)) > 0;
       t.state = FT_REPORTED_RUNNING;
+      Time lease = (Time) (world_.settings.lease_s * kSecond);
+      world_.starts_on_mute += world_.now < mute_until && world_.now > mute_since + 3 * lease;
       world_.checker->on (world_.now, t.job, t.index, { name, zone, spot });
       t.at = world_.now + (Time) ((kept ? 0 : world_.run_s[t.job] * world_.uniform (0.5, 1.5)) * kSecond);
       changed ();
