A limit of 0 in the settings is none: work of the schools' teams is accepted and runs

Ruled out: the zones without a controller, machines were all up. Red before: Admission.ATeamWithoutALimitIsRefusedNothingThatFits, RandomRun.TeamsWithoutLimits.

--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -25,7 +25,8 @@
     return FT_ADMIT_NEVER;
   *why = "it needs more than the team's limit";
   guint together = spec->kind == FT_KIND_ARRAY ? 1 : spec->tasks;
-  if (spec->cpus * together > team->cpus_max + EPSILON || spec->gpus * together > team->gpus_max + EPSILON)
+  if (spec->cpus * together > ft_team_limit (team->cpus_max) + EPSILON
+      || spec->gpus * together > ft_team_limit (team->gpus_max) + EPSILON)
     return FT_ADMIT_NEVER;
   *why = "the machine types are not known yet";
   if (catalog == NULL)
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -121,7 +121,7 @@
   guint n_teams = s->settings->n_teams;
   g_autofree double *room = g_new0 (double, n_teams);
   for (guint t = 0; t < n_teams; t++)
-    room[t] = s->teams[t].limit->cpus_max - s->teams[t].cpus;
+    room[t] = ft_team_limit (s->teams[t].limit->cpus_max) - s->teams[t].cpus;
   for (guint i = 0; i < s->order->len; i++) {
     const FtJob *job = g_ptr_array_index (s->order, i);
     guint t = (guint) (job->team - s->teams);
--- a/src/core/quota.c
+++ b/src/core/quota.c
@@ -34,8 +34,8 @@
 {
   double cpus = 0, gpus = 0;
   unseen (s, team, &cpus, &gpus);
-  double n = MIN (left_over (team->limit->cpus_max, team->cpus + cpus, spec->cpus),
-                  left_over (team->limit->gpus_max, team->gpus + gpus, spec->gpus));
+  double n = MIN (left_over (ft_team_limit (team->limit->cpus_max), team->cpus + cpus, spec->cpus),
+                  left_over (ft_team_limit (team->limit->gpus_max), team->gpus + gpus, spec->gpus));
   return n <= 0 ? 0 : (guint) MIN (n, G_MAXUINT16);
 }
 
--- a/src/core/types.c
+++ b/src/core/types.c
@@ -1,5 +1,11 @@
 #include "core/types.h"
 
+double
+ft_team_limit (double most)
+{
+  return most > 0 ? most : G_MAXDOUBLE;
+}
+
 FtCatalog *
 ft_catalog_new (void)
 {
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -11,10 +11,13 @@
 
 typedef struct {
   char *name;
-  double cpus, cpus_max;
+  double cpus, cpus_max; /* guaranteed and at most; 0: none */
   double gpus, gpus_max;
 } FtTeamLimit;
 
+/* The most that a team may use; 0 in the settings means that there is no limit. */
+double ft_team_limit (double most);
+
 /* What the core needs of the settings file. Owned by the configuration. */
 typedef struct {
   char *member;
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -427,6 +427,16 @@
     nodes.push_back (std::make_unique<Node> (*this, i));
 }
 
+void
+World::unlimit ()
+{
+  for (guint i = 0; i < settings.n_teams; i++) {
+    FtTeamLimit &team = settings.teams[i];
+    team.cpus = team.cpus_max = team.gpus = team.gpus_max = 0;
+    checker->unlimit (team.name);
+  }
+}
+
 World::~World ()
 {
   while (!events_.empty ())
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -92,6 +92,11 @@
   }
   // A repeated submission was refused for good.
   void refused (const std::string &ref);
+  void
+  unlimit (const std::string &team)
+  {
+    limits_[team] = G_MAXDOUBLE;
+  }
   void step (Time now);
   void end ();
 
@@ -252,6 +257,8 @@
     at (now + delay, what);
   }
   void run_until (Time end);
+  // Teams have neither guarantees nor limits, as the settings say it: all are 0.
+  void unlimit ();
   double
   uniform (double a, double b)
   {
--- a/tests/test_random_runs.cpp
+++ b/tests/test_random_runs.cpp
@@ -20,6 +20,16 @@
   day.finish ();
 }
 
+TEST_P (RandomRun, TeamsWithoutLimits)
+{
+  Day day (GetParam () + 1200);
+  day.world.unlimit ();
+  day.load ();
+  for (int i = 0; i < 4; i++)
+    day.crash ((Time) (day.world.uniform (10, 150) * kSecond), day.world.below (3));
+  day.finish ();
+}
+
 TEST_P (RandomRun, ControllersCrash)
 {
   Day day (GetParam () + 100);
--- a/tests/test_units.cpp
+++ b/tests/test_units.cpp
@@ -794,6 +794,19 @@
 
 // ---- admission ----
 
+// Found on the schools deployment, where nothing ran: 0 means that there is no limit.
+TEST (Admission, ATeamWithoutALimitIsRefusedNothingThatFits)
+{
+  sim::World w (1);
+  w.unlimit ();
+  const char *why;
+  g_autoptr (FtJobSpec) s = spec ("req-1", 100);
+  s->kind = FT_KIND_GANG;
+  EXPECT_EQ (ft_admission_check (&w.settings, w.catalog, s, &why), FT_ADMIT);
+  s->gpus = 1; // no machine has one
+  EXPECT_EQ (ft_admission_check (&w.settings, w.catalog, s, &why), FT_ADMIT_NEVER);
+}
+
 TEST (Admission, TellsNeverFromNotYet)
 {
   sim::World w (1);
