--- a/tests/sim/node.cpp
+++ b/tests/sim/node.cpp
@@ -57,19 +57,26 @@
   });
 }
 
-// One request to the state service: it may be executed and not answered, or
-// executed late.
-void
-Node::ask_store (std::function<std::pair<guint, json_t *> ()> what, Reply reply)
+// The first answer counts, and none of a former life.
+Node::Finish
+Node::once (Reply reply)
 {
   auto done = std::make_shared<bool> (false);
   guint64 life = life_;
-  auto finish = [this, done, life, reply] (guint status, std::shared_ptr<json_t> body) {
+  return [this, done, life, reply] (guint status, std::shared_ptr<json_t> body) {
     if (*done || life != life_)
       return;
     *done = true;
     reply (status, body.get ());
   };
+}
+
+// One request to the state service: it may be executed and not answered, or
+// executed late.
+void
+Node::ask_store (std::function<std::pair<guint, json_t *> ()> what, Reply reply)
+{
+  auto finish = once (reply);
   world_.deliver (name (), "store", [this, what, finish] {
     std::pair<guint, json_t *> answer = refused () ? std::make_pair (503u, (json_t *) nullptr) : what ();
     std::shared_ptr<json_t> body (answer.second, json_decref);
@@ -105,11 +112,7 @@
       world_.late_applied += status == 200;
       json_decref (body);
     });
-    guint64 life = life_;
-    later ((Time) (FT_STATE_TIMEOUT_S * kSecond), [this, life, reply] {
-      if (life == life_)
-        reply (0, nullptr);
-    });
+    later ((Time) (FT_STATE_TIMEOUT_S * kSecond), [finish = once (reply)] { finish (0, nullptr); });
     return;
   }
   ask_store ([this, owned] { return world_.store.commit (owned.get ()); }, reply);
@@ -117,8 +120,7 @@
 
 // An open watch waits while the state service refuses its controller, as in an outage.
 void
-Node::await_change (const std::string &prefix, guint64 since, Time until,
-                    std::function<void (guint, std::shared_ptr<json_t>)> finish)
+Node::await_change (const std::string &prefix, guint64 since, Time until, Finish finish)
 {
   if (!refused () && (world_.now >= until || world_.store.changed (prefix, since))) {
     auto answer = world_.store.follow (prefix, since);
@@ -132,15 +134,8 @@
 void
 Node::ask_watch (const std::string &prefix, guint64 since, Reply reply)
 {
-  auto done = std::make_shared<bool> (false);
-  guint64 life = life_;
-  auto finish = [this, done, life, reply] (guint status, std::shared_ptr<json_t> body) {
-    if (*done || life != life_)
-      return;
-    *done = true;
-    reply (status, body.get ());
-  };
-  world_.deliver (name (), "store", [this, prefix, since, finish, done] {
+  auto finish = once (reply);
+  world_.deliver (name (), "store", [this, prefix, since, finish] {
     if (refused ()) {
       world_.deliver ("store", name (), [finish] { finish (503, nullptr); });
       return;
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -407,6 +407,8 @@
     }
   };
   using Reply = std::function<void (guint, const json_t *)>;
+  using Finish = std::function<void (guint, std::shared_ptr<json_t>)>;
+  Finish once (Reply reply);
   Time
   clock () const
   {
@@ -418,8 +420,7 @@
   bool refused () const;
   void ask_store (std::function<std::pair<guint, json_t *> ()> what, Reply reply);
   void ask_watch (const std::string &prefix, guint64 since, Reply reply);
-  void await_change (const std::string &prefix, guint64 since, Time until,
-                     std::function<void (guint, std::shared_ptr<json_t>)> finish);
+  void await_change (const std::string &prefix, guint64 since, Time until, Finish finish);
   void commit (json_t *txn, Reply reply);
   // `began`: when the first page was asked for.
   void load (const std::string &prefix, const std::string &after, Time began);
