A hinted withdrawal stops tasks; rows go only after the withdrawal is read

Found on reading the change: a hint between controllers led to the end of the job's rows before the leader's watch had shown the withdrawal. A wrong hint would have dropped an open job, and an older event of the job that came late would have brought it back as open. Red before: Scheduler.AHintedWithdrawalStopsTasksAndDropsNoRowBeforeItIsRead does not build without the change. 235 tests pass.

--- a/src/core/model.h
+++ b/src/core/model.h
@@ -57,6 +57,7 @@
   gboolean final_in_flight, conflicted;
   gint64 accepted_at, deadline_at; /* deadline 0: none */
   gint64 withdrawn_at;             /* when its withdrawal was committed, for all we know */
+  gboolean withdrawal_read;        /* from its row, not from a hint */
   gboolean guaranteed, too_late;
   gboolean begun;    /* a task of it has been placed, or was found done or on a machine */
   gboolean overlong; /* it has waited to begin for as long as any may */
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -182,11 +182,23 @@
 
 void
 ft_scheduler_job_withdrawn (FtScheduler *s, const char *ref, gint64 age_us, gint64 now)
+{
+  s->now = now;
+  FtJob *job = g_hash_table_lookup (s->jobs, ref);
+  if (job == NULL)
+    return;
+  withdraw (s, job, now - age_us);
+  job->withdrawal_read = TRUE;
+  ft_job_touch (job);
+}
+
+void
+ft_scheduler_withdrawal_hinted (FtScheduler *s, const char *ref, gint64 now)
 {
   s->now = now;
   FtJob *job = g_hash_table_lookup (s->jobs, ref);
   if (job != NULL)
-    withdraw (s, job, now - age_us);
+    withdraw (s, job, now);
 }
 
 static void
@@ -1044,10 +1056,12 @@
   return job->state == FT_JOB_OPEN && ft_job_finished (job) == job->spec->tasks;
 }
 
+/* Rows go only after the watch has shown the withdrawal: a wrong hint must not drop an
+ * open job, and an older event of the job that comes later must not bring it back. */
 static gboolean
 job_all_gone (const FtJob *job)
 {
-  if (job->state != FT_JOB_WITHDRAWN)
+  if (job->state != FT_JOB_WITHDRAWN || !job->withdrawal_read)
     return FALSE;
   return ft_job_live (job) == 0 && job->counts[FT_TASK_UNKNOWN] == 0 && job->counts[FT_TASK_QUEUED] == 0;
 }
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -31,8 +31,7 @@
 /* ---- jobs ---- */
 /* A job accepted after the takeover. Takes the spec. */
 void ft_scheduler_job_added (FtScheduler *s, FtJobSpec *spec, guint64 stamp, gint64 now, gint64 wall_ms);
-/* `age_us`: how long ago the withdrawal was committed, at least; a hint of a peer that
- * has committed it is as good as its row, since it only ever stops tasks. */
+/* Its row was read. `age_us`: how long ago it was committed. */
 void ft_scheduler_job_withdrawn (FtScheduler *s, const char *ref, gint64 age_us, gint64 now);
 void ft_scheduler_set_catalog (FtScheduler *s, FtCatalog *catalog);
 
@@ -123,6 +122,9 @@
 void ft_scheduler_tick (FtScheduler *s, gint64 now, gboolean may_start);
 /* Runs a placement pass if anything has changed and the last one is a while ago. */
 void ft_scheduler_place (FtScheduler *s, gint64 now, gboolean may_start);
+/* Somebody says that the job is withdrawn: its tasks are stopped. The job's rows stay
+ * until the withdrawal is read. */
+void ft_scheduler_withdrawal_hinted (FtScheduler *s, const char *ref, gint64 now);
 /* All withdrawals committed before `at` have been passed on. */
 void ft_scheduler_informed (FtScheduler *s, gint64 at);
 /* This controller answers no reports now: that none come proves nothing. */
--- a/src/net/mesh.c
+++ b/src/net/mesh.c
@@ -82,7 +82,7 @@
 hear_withdrawn (FtNode *node, const char *ref)
 {
   if (node->scheduler != NULL)
-    ft_scheduler_job_withdrawn (node->scheduler, ref, 0, g_get_monotonic_time ());
+    ft_scheduler_withdrawal_hinted (node->scheduler, ref, g_get_monotonic_time ());
 }
 
 /* The leader sees withdrawals by its watch; one that the state service refuses does not,
--- a/tests/sim/node.cpp
+++ b/tests/sim/node.cpp
@@ -151,7 +151,7 @@
 {
   auto hear = [this, ref] (Node *node) {
     if (node->alive && node->leads ())
-      ft_scheduler_job_withdrawn (node->scheduler (), ref.c_str (), 0, node->clock ());
+      ft_scheduler_withdrawal_hinted (node->scheduler (), ref.c_str (), node->clock ());
   };
   if (!world_.hints)
     return;
--- a/tests/test_units.cpp
+++ b/tests/test_units.cpp
@@ -599,6 +599,28 @@
   EXPECT_EQ (commands->len, 1u);
 }
 
+// A wrong hint must not drop an open job.
+TEST (Scheduler, AHintedWithdrawalStopsTasksAndDropsNoRowBeforeItIsRead)
+{
+  Bench b;
+  ft_scheduler_loaded (b.s, 100 * kS);
+  ft_scheduler_job_added (b.s, spec ("req-1", 2), 5, 100 * kS, 0);
+  auto ends = [&] (gint64 at) {
+    g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (b.s, 11, at);
+    guint n = 0;
+    for (guint i = 0; i < writes->len; i++)
+      n += ((FtWrite *) g_ptr_array_index (writes, i))->kind == FT_WRITE_JOB_GONE;
+    ft_scheduler_written (b.s, writes, at);
+    return n;
+  };
+  ft_scheduler_withdrawal_hinted (b.s, "req-1", 101 * kS);
+  EXPECT_TRUE (ft_scheduler_view (b.s, "req-1").withdrawn);
+  EXPECT_EQ (ends (101 * kS), 0u);
+  ft_scheduler_job_withdrawn (b.s, "req-1", kS, 102 * kS);
+  EXPECT_EQ (ends (102 * kS), 1u);
+  EXPECT_FALSE (ft_scheduler_view (b.s, "req-1").known);
+}
+
 TEST (Scheduler, UnknownTasksWaitForTheRosterMachine)
 {
   Bench b;
