--- a/tests/test_random_runs.cpp
+++ b/tests/test_random_runs.cpp
@@ -336,6 +336,45 @@
   expect ("nothing_ran");
 }
 
+TEST_F (CheckerFails, LeftWaitingThoughItCouldRun)
+{
+  checker.waits (0, "req-1", true); // in trouble still
+  checker.calm (kSecond);
+  checker.waits (kSecond, "req-1", true);
+  checker.waits (91 * kSecond, "req-1", true);
+  checker.waits (92 * kSecond, "req-1", false); // its team is at its limit
+  checker.waits (93 * kSecond, "req-1", true);
+  checker.on (150 * kSecond, "req-1", 0, { "m1", "a", false }); // a task of it begins
+  checker.waits (160 * kSecond, "req-1", true);
+  checker.waits (250 * kSecond, "req-1", true);
+  EXPECT_TRUE (checker.broken ().empty ());
+  checker.waits (250 * kSecond + 1, "req-1", true);
+  expect ("waiting");
+}
+
+TEST_F (CheckerFails, AcceptedThoughItCanNeverRun)
+{
+  Checker::Job job;
+  job.can_run = false;
+  checker.submitted ("req-4", job);
+  checker.told (0, "req-4", ""); // refused
+  EXPECT_TRUE (checker.broken ().empty ());
+  checker.told (1, "req-4", "queued");
+  expect ("accepted");
+}
+
+TEST_F (CheckerFails, CountsStartsAfterAConfirmedCancellation)
+{
+  checker.on (0, "req-1", 0, { "m1", "a", false });
+  checker.cancel_asked ("req-1");
+  checker.told (kSecond, "req-1", "cancelled");
+  EXPECT_EQ (checker.started_cancelled (), 0u);
+  checker.on (3 * kSecond, "req-1", 1, { "m1", "a", false });
+  EXPECT_EQ (checker.started_cancelled (), 1u);
+  EXPECT_EQ (checker.jobs ().at ("req-1").last_start_cancelled, 2 * kSecond);
+  EXPECT_TRUE (checker.broken ().empty ()) << "counted; a rule only after cancel_s";
+}
+
 TEST_F (CheckerFails, NoAnswerFor75Seconds)
 {
   checker.told (0, "req-1", "queued");
