--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -349,8 +349,7 @@
 static gboolean
 mute_long (const FtScheduler *s, const FtMachine *m)
 {
-  double lease = s->settings->lease_s * (1 + FT_CLOCK_DRIFT) + FT_WORKER_LEASE_MARGIN_S;
-  return ft_machine_mute (s, m) && s->now - ft_machine_unreported_since (s, m) > (gint64) (lease * FT_SECOND);
+  return ft_machine_mute (s, m) && s->now - ft_machine_unreported_since (s, m) > ft_machine_lease_us (s);
 }
 
 /* Why a machine is of no use, and may be given up; NULL: it is of use. */
@@ -412,14 +411,20 @@
   return age;
 }
 
+/* A withdrawal as old as that leaves no time to wait for the machine. */
+static gboolean
+pressing (const FtScheduler *s, gint64 age)
+{
+  return age > (gint64) (FT_WITHDRAWN_MOST * s->settings->cancel_s * FT_SECOND);
+}
+
 /* What an unaccounted machine holds nobody knows, and without the store nobody knows what
  * was withdrawn. Given back for that alone, a cut zone would go with each cancellation:
  * not before half of the time is over. */
 static gboolean
 may_hold_withdrawn (const FtScheduler *s, const FtMachine *machine)
 {
-  gint64 late = (gint64) (FT_WITHDRAWN_MOST * s->settings->cancel_s * FT_SECOND);
-  return holds_withdrawn (machine) || (!machine->accounted && s->unseen_withdrawal > late)
+  return holds_withdrawn (machine) || (!machine->accounted && pressing (s, s->unseen_withdrawal))
          || (s->blind && !ft_machine_idle (machine));
 }
 
@@ -429,8 +434,7 @@
 static gboolean
 is_blind (const FtScheduler *s, guint up, guint lost)
 {
-  gint64 late = (gint64) (FT_WITHDRAWN_MOST * s->settings->cancel_s * FT_SECOND);
-  return s->now - s->known_until > late && FT_BLIND_HEARD * lost <= up;
+  return pressing (s, s->now - s->known_until) && FT_BLIND_HEARD * lost <= up;
 }
 
 /* A withdrawn task whose direct start got no answer may still start, late, as
@@ -480,12 +484,13 @@
     FtMachine *m = value;
     if (m->state == FT_MACHINE_RETURNING || m->state == FT_MACHINE_GONE)
       continue;
+    const char *lost_why = why_lost (s, m);
     gint64 taken = m->notice_until + (gint64) (FT_NOTICE_MARGIN_S * FT_SECOND);
     if (m->notice_until > 0 && s->now > taken && m->last_report < m->notice_until) {
       return_machine (s, m, "taken by the cloud");
-    } else if (why_lost (s, m) != NULL && (may_hold_withdrawn (s, m) || may_give_up (s, m, up, lost))) {
+    } else if (lost_why != NULL && (may_hold_withdrawn (s, m) || may_give_up (s, m, up, lost))) {
       s->silent_returned++;
-      return_machine (s, m, why_lost (s, m));
+      return_machine (s, m, lost_why);
     } else if (boot_failed (s, m)) {
       return_machine (s, m, "did not come up");
     } else if (in_doubt (s, m)) {
--- a/src/core/machine.c
+++ b/src/core/machine.c
@@ -139,6 +139,18 @@
   return machine->deaf_since > 0;
 }
 
+gint64
+ft_machine_lease_us (const FtScheduler *s)
+{
+  return (gint64) ((s->settings->lease_s * (1 + FT_CLOCK_DRIFT) + FT_WORKER_LEASE_MARGIN_S) * FT_SECOND);
+}
+
+gint64
+ft_machine_silence_us (const FtScheduler *s)
+{
+  return (gint64) ((s->settings->report_s * FT_REPORT_GAP + FT_WORKER_TIMEOUT_S + FT_SILENCE_MARGIN_S) * FT_SECOND);
+}
+
 gint64
 ft_machine_unreported_since (const FtScheduler *s, const FtMachine *machine)
 {
@@ -150,9 +162,8 @@
 gboolean
 ft_machine_mute (const FtScheduler *s, const FtMachine *machine)
 {
-  double longest = s->settings->report_s * FT_REPORT_GAP + FT_WORKER_TIMEOUT_S + FT_SILENCE_MARGIN_S;
   return machine->state == FT_MACHINE_UP
-         && s->now - ft_machine_unreported_since (s, machine) > (gint64) (longest * FT_SECOND);
+         && s->now - ft_machine_unreported_since (s, machine) > ft_machine_silence_us (s);
 }
 
 gboolean
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -224,6 +224,10 @@
 guint ft_machine_room (const FtMachine *machine, const FtJobSpec *spec);
 gboolean ft_machine_deaf (const FtMachine *machine);
 gboolean ft_machine_mute (const FtScheduler *s, const FtMachine *machine);
+/* How long a worker keeps its tasks after its last answered report, at most; and how long
+ * nothing comes from a machine until it counts as silent. */
+gint64 ft_machine_lease_us (const FtScheduler *s);
+gint64 ft_machine_silence_us (const FtScheduler *s);
 /* Since when it could have reported to us, and has not. */
 gint64 ft_machine_unreported_since (const FtScheduler *s, const FtMachine *machine);
 gboolean ft_machine_idle (const FtMachine *machine);
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -881,21 +881,19 @@
 static void
 check_machine (FtScheduler *s, FtMachine *machine)
 {
-  double worker_lease = s->settings->lease_s * (1 + FT_CLOCK_DRIFT) + FT_WORKER_LEASE_MARGIN_S;
   if (machine->state == FT_MACHINE_GONE)
     return;
   /* A worker that runs has dropped its tasks by now, but one that hangs has
    * not: what was on the machine is over only when a report of a later session
    * comes or the machine is gone. The lapsed session is not used again. */
   if (machine->session > machine->lapsed_session && machine->last_answer > 0
-      && s->now > machine->last_answer + seconds (worker_lease)) {
+      && s->now > machine->last_answer + ft_machine_lease_us (s)) {
     g_message ("machine %s: worker lease over, session %" G_GUINT64_FORMAT, machine->name, machine->session);
     machine->lapsed_session = machine->session;
   }
-  double silence = s->settings->report_s * FT_REPORT_GAP + FT_WORKER_TIMEOUT_S + FT_SILENCE_MARGIN_S;
   /* Probes alone tell nothing while a report is not due: right after a takeover
    * this controller is busy, and gives back no healthy fleet for its own lateness. */
-  gboolean silent = s->now - silent_since (s, machine) > seconds (silence)
+  gboolean silent = s->now - silent_since (s, machine) > ft_machine_silence_us (s)
                     || (report_overdue (s, machine)
                         && machine->probe_fails >= (machine->accounted ? FT_PROBES : FT_PROBES_TAKEOVER));
   if (machine->state == FT_MACHINE_UP && silent)
