--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -115,8 +115,8 @@
   s->open_tasks += spec->tasks;
   s->dirty = TRUE;
   g_hash_table_insert (s->jobs, spec->ref, job);
-  g_message ("job %s: %s of %s, %u tasks, %.1f s ago", spec->ref, spec->job_class, spec->team, spec->tasks,
-             (double) age_us / FT_SECOND);
+  g_message ("job %s: %s of %s, %u tasks, %.1f s ago, estimate %.1f s, due within %.1f s", spec->ref, spec->job_class,
+             spec->team, spec->tasks, (double) age_us / FT_SECOND, spec->estimate_s, spec->deadline_s);
   return job;
 }
 
