Arrays that one lost spot machine would delay prefer ordinary machines

Change: the choice of a machine counts the expected delay of the job from losses of spot machines; the rate is learned from notices.

The scheduler's test harness stands in a header of its own.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -5,6 +5,8 @@
 
 /* Microseconds in a second; all times inside the program are microseconds. */
 #define FT_SECOND 1000000LL
+/* Seconds in an hour; the cloud's prices and rates are by the hour. */
+#define FT_HOUR_S 3600.0
 
 /* ---- lease ---- */
 /* Seconds a leader may act after a renewal was sent (design default). */
@@ -157,6 +159,11 @@
  * a machine, in seconds of waiting. */
 #define FT_SCORE_LEFT_S 2.0
 #define FT_SCORE_ORDINARY_S 0.5
+/* What a spot machine's loss rate is taken for until something is known of it: that many
+ * losses in that many machine-hours. A thousand machines outweigh it within seconds, a
+ * dozen within minutes. */
+#define FT_SPOT_PRIOR_LOSSES 0.5
+#define FT_SPOT_PRIOR_HOURS 1.0
 /* By how much the two weigh more for work that is not urgent. */
 #define FT_SCORE_PACK 4.0
 /* Seconds a task that was stopped for another leaves its room to that one. */
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -549,6 +549,24 @@
   return s->recovered || s->now - s->took_over_at > (gint64) (reports * FT_SECOND);
 }
 
+/* Counts the time for which spot machines have been up. */
+static void
+observe_spot (FtScheduler *s)
+{
+  guint up = 0;
+  GHashTableIter it;
+  gpointer value;
+  if (s->spot_observed_at > 0) {
+    g_hash_table_iter_init (&it, s->machines);
+    while (g_hash_table_iter_next (&it, NULL, &value)) {
+      const FtMachine *m = value;
+      up += m->spot && m->state == FT_MACHINE_UP;
+    }
+    ft_spot_risk_observe (&s->spot_risk, up, (double) (s->now - s->spot_observed_at) / FT_SECOND);
+  }
+  s->spot_observed_at = s->now;
+}
+
 void
 ft_fleet_tick (FtScheduler *s)
 {
@@ -556,6 +574,7 @@
   if (!s->may_start || s->now < s->next_fleet || !fleet_known (s))
     return;
   s->next_fleet = s->now + (gint64) (FT_FLEET_EVERY_S * FT_SECOND);
+  observe_spot (s);
   plan_rentals (s);
   return_idle (s);
 }
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -3,6 +3,7 @@
 #pragma once
 #include "core/constants.h"
 #include "core/scheduler.h"
+#include "core/spot_risk.h"
 #include "core/tuning.h"
 #include "core/types.h"
 
@@ -188,6 +189,8 @@
   GQueue marks_drop; /* names whose operators' marks go */
   GQueue closing;    /* FtWrite left over: chunk rows to delete */
   gint64 next_fleet;
+  FtSpotRisk spot_risk;
+  gint64 spot_observed_at; /* up to when `spot_risk` counts machine-hours; 0: not begun */
   gint64 silent_window_at;
   guint silent_returned;
   gint64 unseen_withdrawal; /* age of the oldest withdrawal of which tasks may run unseen; 0: none */
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -112,9 +112,10 @@
   return here + 1 <= (job->spec->tasks + 1) / 2;
 }
 
-/* Smaller is better: seconds until the task could start, then the room left. */
+/* Smaller is better: seconds until the task could start, then the room left and what the
+ * machine's kind is expected to cost. */
 static double
-score (const FtMachine *machine, const FtJobSpec *spec)
+score (const FtMachine *machine, const FtJobSpec *spec, double spot_delay_s)
 {
   double wait = 0;
   if (!g_hash_table_contains (machine->images, spec->image)) {
@@ -134,7 +135,8 @@
   /* Work that need not begin at once is packed, so that machines come free whole,
    * the dear ones first. */
   double pack = spec->priority < FT_PRIORITY_HIGH ? FT_SCORE_PACK : 1;
-  return wait + pack * (FT_SCORE_LEFT_S * left + (machine->spot ? 0 : FT_SCORE_ORDINARY_S));
+  double kind = machine->spot ? spot_delay_s : pack * FT_SCORE_ORDINARY_S;
+  return wait + pack * FT_SCORE_LEFT_S * left + kind;
 }
 
 /* A task keeps off the machine where it failed, for a while only: it may be
@@ -185,6 +187,7 @@
   guint seen = 0;
   if (known_full (pass, job->spec))
     return NULL;
+  double spot_delay_s = ft_spot_risk_delay_s (&s->spot_risk, job->spec);
   guint n = pass->machines->len, start = n > 0 ? (guint) g_rand_int_range (s->random, 0, (gint32) n) : 0;
   for (guint i = 0; i < n && seen < s->tuning.sample_size; i++) {
     FtMachine *machine = g_ptr_array_index (pass->machines, (start + i) % n);
@@ -192,7 +195,7 @@
     if (!candidate (s, job, task, w, machine))
       continue;
     seen++;
-    double value = score (machine, job->spec);
+    double value = score (machine, job->spec, spot_delay_s);
     if (value < best_score) {
       best_score = value;
       best = machine;
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -452,6 +452,7 @@
   machine->notice_until = s->now + (gint64) (notice_s * FT_SECOND);
   if (!first)
     return;
+  ft_spot_risk_lost (&s->spot_risk);
   g_autoptr (GList) all = g_hash_table_get_values (machine->attempts);
   for (GList *l = all; l != NULL; l = l->next) {
     FtAttempt *a = l->data;
--- /dev/null
+++ b/tests/scheduler_harness.hpp
@@ -0,0 +1,118 @@
+// One scheduler without a node around it, for tests that look at a single decision.
+#pragma once
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "world.hpp"
+
+extern "C" {
+#include "core/constants.h"
+#include "core/model.h"
+}
+
+constexpr gint64 kS = FT_SECOND;
+
+// A job of tasks of 4 CPUs, all of which may have been sent to machines.
+inline FtJobSpec *
+spec (const char *ref, guint tasks)
+{
+  FtJobSpec *s = g_new0 (FtJobSpec, 1);
+  s->ref = g_strdup (ref);
+  s->job_class = g_strdup ("c");
+  s->team = g_strdup ("red");
+  s->image = g_strdup ("img");
+  s->tasks = tasks;
+  s->cpus = 4;
+  s->memory_gb = 1;
+  s->spot = TRUE;
+  s->sent = tasks;
+  return s;
+}
+
+// Commands of that kind in an answer.
+inline guint
+count (GArray *commands, FtCommandOp op)
+{
+  guint n = 0;
+  for (guint i = 0; i < commands->len; i++)
+    n += g_array_index (commands, FtCommand, i).op == op;
+  return n;
+}
+
+// A scheduler that leads since 100 s, in a world whose machines are of one type.
+struct SchedulerHarness {
+  sim::World world{ 1 };
+  FtScheduler *s;
+  explicit SchedulerHarness (guint64 token = 3)
+      : s (ft_scheduler_new (&world.settings, world.catalog, token, 18 * kS, 100 * kS, 1))
+  {
+  }
+  ~SchedulerHarness () { ft_scheduler_free (s); }
+  FtReport *
+  report (guint64 session, guint64 sequence, guint64 token, const char *machine = "n-1", const char *zone = "a",
+          bool spot = false)
+  {
+    FtReport *r = ft_report_new ();
+    r->machine = g_strdup (machine);
+    r->addr = g_strdup ("10.1.0.1:9000");
+    r->type = g_strdup ("std");
+    r->zone = g_strdup (zone);
+    r->spot = spot;
+    r->session = session;
+    r->sequence = sequence;
+    r->token = token;
+    return r;
+  }
+  void
+  write (gint64 now)
+  {
+    g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (s, 11, now);
+    ft_scheduler_written (s, writes, now);
+  }
+  // A machine that is up, in the roster and has seen the token.
+  void
+  machine_up (gint64 now, guint64 sequence = 1, const char *name = "n-1", const char *zone = "a", bool spot = false)
+  {
+    g_autoptr (FtReport) r = report (1, sequence, 3, name, zone, spot);
+    ASSERT_TRUE (ft_scheduler_report (s, r, now));
+    g_autoptr (GArray) none = ft_scheduler_answer (s, r, now);
+    write (now);
+  }
+  void
+  other_up (gint64 now)
+  {
+    g_autoptr (FtReport) r = report (1, 1, 3, "n-2");
+    ASSERT_TRUE (ft_scheduler_report (s, r, now));
+  }
+  GArray *
+  exchange (gint64 now, guint64 sequence, std::vector<FtReportedTask> tasks = {}, guint64 session = 1)
+  {
+    g_autoptr (FtReport) r = report (session, sequence, 3);
+    for (FtReportedTask t : tasks) {
+      t.job = g_strdup (t.job);
+      g_array_append_val (r->tasks, t);
+    }
+    EXPECT_TRUE (ft_scheduler_report (s, r, now));
+    ft_scheduler_place (s, now, TRUE);
+    return ft_scheduler_answer (s, r, now);
+  }
+  FtMachine *
+  machine (const char *name)
+  {
+    return (FtMachine *) g_hash_table_lookup (s->machines, name);
+  }
+  FtJob *
+  job (const char *ref)
+  {
+    return (FtJob *) g_hash_table_lookup (s->jobs, ref);
+  }
+  // The machine that has the task, "" if none.
+  std::string
+  place_of (const char *ref, guint index)
+  {
+    const FtAttempt *attempt = job (ref)->tasks[index].attempt;
+    return attempt == nullptr ? "" : attempt->machine->name;
+  }
+};
--- a/tests/test_units.cpp
+++ b/tests/test_units.cpp
@@ -3,7 +3,7 @@
 
 #include <array>
 
-#include "world.hpp"
+#include "scheduler_harness.hpp"
 
 extern "C" {
 #include "config.h"
@@ -19,8 +19,6 @@
 
 namespace {
 
-constexpr gint64 kS = FT_SECOND;
-
 // ---- CBOR ----
 
 json_t *
@@ -260,22 +258,6 @@
 
 // ---- states ----
 
-FtJobSpec *
-spec (const char *ref, guint tasks)
-{
-  FtJobSpec *s = g_new0 (FtJobSpec, 1);
-  s->ref = g_strdup (ref);
-  s->job_class = g_strdup ("c");
-  s->team = g_strdup ("red");
-  s->image = g_strdup ("img");
-  s->tasks = tasks;
-  s->cpus = 4;
-  s->memory_gb = 1;
-  s->spot = TRUE;
-  s->sent = tasks; // all of it may have been sent
-  return s;
-}
-
 TEST (Task, RefusesIllegalMoves)
 {
   FtJob *job = ft_job_new (spec ("req-1", 2), nullptr, 1, FT_TASK_QUEUED);
@@ -309,76 +291,9 @@
 
 // ---- scheduler: single failures found, each with its own test ----
 
-struct Bench {
-  sim::World world{ 1 };
-  FtScheduler *s;
-  explicit Bench (guint64 token = 3)
-      : s (ft_scheduler_new (&world.settings, world.catalog, token, 18 * kS, 100 * kS, 1))
-  {
-  }
-  ~Bench () { ft_scheduler_free (s); }
-  FtReport *
-  report (guint64 session, guint64 sequence, guint64 token)
-  {
-    FtReport *r = ft_report_new ();
-    r->machine = g_strdup ("n-1");
-    r->addr = g_strdup ("10.1.0.1:9000");
-    r->type = g_strdup ("std");
-    r->zone = g_strdup ("a");
-    r->session = session;
-    r->sequence = sequence;
-    r->token = token;
-    return r;
-  }
-  void
-  write (gint64 now)
-  {
-    g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (s, 11, now);
-    ft_scheduler_written (s, writes, now);
-  }
-  // A machine that is up, in the roster and has seen the token.
-  void
-  machine_up (gint64 now, guint64 sequence = 1)
-  {
-    g_autoptr (FtReport) r = report (1, sequence, 3);
-    ASSERT_TRUE (ft_scheduler_report (s, r, now));
-    g_autoptr (GArray) none = ft_scheduler_answer (s, r, now);
-    write (now);
-  }
-  void
-  other_up (gint64 now)
-  {
-    g_autoptr (FtReport) r = report (1, 1, 3);
-    g_free (r->machine);
-    r->machine = g_strdup ("n-2");
-    ASSERT_TRUE (ft_scheduler_report (s, r, now));
-  }
-  GArray *
-  exchange (gint64 now, guint64 sequence, std::vector<FtReportedTask> tasks = {}, guint64 session = 1)
-  {
-    g_autoptr (FtReport) r = report (session, sequence, 3);
-    for (FtReportedTask t : tasks) {
-      t.job = g_strdup (t.job);
-      g_array_append_val (r->tasks, t);
-    }
-    EXPECT_TRUE (ft_scheduler_report (s, r, now));
-    ft_scheduler_place (s, now, TRUE);
-    return ft_scheduler_answer (s, r, now);
-  }
-};
-
-guint
-count (GArray *commands, FtCommandOp op)
-{
-  guint n = 0;
-  for (guint i = 0; i < commands->len; i++)
-    n += g_array_index (commands, FtCommand, i).op == op;
-  return n;
-}
-
 TEST (Scheduler, NoCommandBeforeTheMachineIsInTheRoster)
 {
-  Bench b;
+  SchedulerHarness b;
   ft_scheduler_loaded (b.s, 100 * kS);
   ft_scheduler_job_added (b.s, spec ("req-1", 1), 5, 100 * kS, 0);
   g_autoptr (GArray) first = b.exchange (101 * kS, 1);
@@ -392,7 +307,7 @@
 // One row names many machines; it is written anew when one of them goes.
 TEST (Roster, ARowFollowsItsMachines)
 {
-  Bench b;
+  SchedulerHarness b;
   ft_scheduler_load_machine (b.s, "row-1", "n-1", "10.1.0.1:9000", "std", "a", FALSE);
   ft_scheduler_load_machine (b.s, "row-1", "n-2", "10.1.0.2:9000", "std", "a", FALSE);
   ft_scheduler_loaded (b.s, 100 * kS);
@@ -424,7 +339,7 @@
 // had a row of its own, too many to be kept up with.
 TEST (Roster, OneRowTakesAsManyMachinesAsAValueHolds)
 {
-  Bench b;
+  SchedulerHarness b;
   b.world.settings.value_kb = 8;
   ft_scheduler_loaded (b.s, 100 * kS);
   for (int i = 0; i < 50; i++) {
@@ -443,7 +358,7 @@
 
 TEST (Scheduler, AMachineThatDoesNotHearGetsNoWorkAndIsReturned)
 {
-  Bench b;
+  SchedulerHarness b;
   ft_scheduler_loaded (b.s, 100 * kS);
   b.machine_up (100 * kS);
   ft_scheduler_job_added (b.s, spec ("req-1", 1), 5, 101 * kS, 0);
@@ -466,7 +381,7 @@
 // A takeover does not wait for a machine whose reports never show the new token.
 TEST (Scheduler, ADeafMachineOfTheRosterIsReturned)
 {
-  Bench b;
+  SchedulerHarness b;
   ft_scheduler_load_machine (b.s, "row-1", "n-1", "10.1.0.1:9000", "std", "a", FALSE);
   ft_scheduler_loaded (b.s, 100 * kS);
   gint64 at = 100 * kS;
@@ -483,7 +398,7 @@
 
 TEST (Scheduler, ALateCopyRevivesNoMachineAndProvesNoAbsence)
 {
-  Bench b;
+  SchedulerHarness b;
   ft_scheduler_loaded (b.s, 100 * kS);
   b.machine_up (100 * kS, 5);
   FtMachine *m = (FtMachine *) g_hash_table_lookup (b.s->machines, "n-1");
@@ -509,7 +424,7 @@
 // Late for its deadline, below others in priority: after 120 s it goes first.
 TEST (Placement, NothingWaitsForEverToBegin)
 {
-  Bench b;
+  SchedulerHarness b;
   ft_scheduler_loaded (b.s, 100 * kS);
   b.machine_up (100 * kS);
   FtJobSpec *late = spec ("req-1", 1);
@@ -531,7 +446,7 @@
 // No report costs a look at all jobs or machines, whatever waits.
 TEST (Scheduler, AReportLooksAtFewThings)
 {
-  Bench b;
+  SchedulerHarness b;
   const guint machines = 1000, jobs = 300;
   b.world.settings.value_kb = 8;
   b.world.settings.teams[0].cpus_max = 1e6;
@@ -580,7 +495,7 @@
 
 TEST (Scheduler, ALapsedLeaderSendsStopsOnly)
 {
-  Bench b;
+  SchedulerHarness b;
   ft_scheduler_loaded (b.s, 100 * kS);
   b.machine_up (100 * kS);
   ft_scheduler_job_added (b.s, spec ("req-1", 2), 5, 100 * kS, 0);
@@ -602,7 +517,7 @@
 // A wrong hint must not drop an open job.
 TEST (Scheduler, AHintedWithdrawalStopsTasksAndDropsNoRowBeforeItIsRead)
 {
-  Bench b;
+  SchedulerHarness b;
   ft_scheduler_loaded (b.s, 100 * kS);
   ft_scheduler_job_added (b.s, spec ("req-1", 2), 5, 100 * kS, 0);
   auto ends = [&] (gint64 at) {
@@ -623,7 +538,7 @@
 
 TEST (Scheduler, UnknownTasksWaitForTheRosterMachine)
 {
-  Bench b;
+  SchedulerHarness b;
   ft_scheduler_load_job (b.s, spec ("req-1", 2), 5, 100 * kS, 0);
   ft_scheduler_load_machine (b.s, "row-1", "n-1", "10.1.0.1:9000", "std", "a", FALSE);
   ft_scheduler_loaded (b.s, 100 * kS);
@@ -645,7 +560,7 @@
 // that is placed at once, and the rest when each machine is accounted for.
 TEST (Scheduler, TasksBeyondTheMarkDoNotWaitForRecovery)
 {
-  Bench b;
+  SchedulerHarness b;
   FtJobSpec *partly = spec ("req-1", 4);
   partly->sent = 3;
   ft_scheduler_load_job (b.s, partly, 5, 100 * kS, 0);
@@ -666,7 +581,7 @@
 // has its tasks; time alone must not free them.
 TEST (Scheduler, AWorkerLeaseThatLapsedFreesNoTask)
 {
-  Bench b;
+  SchedulerHarness b;
   ft_scheduler_loaded (b.s, 100 * kS);
   b.machine_up (100 * kS);
   ft_scheduler_job_added (b.s, spec ("req-1", 1), 5, 100 * kS, 0);
@@ -692,7 +607,7 @@
 // task was neither started nor released.
 TEST (Scheduler, AStopOfALostDirectStartIsTakenBack)
 {
-  Bench b;
+  SchedulerHarness b;
   ft_scheduler_loaded (b.s, 100 * kS);
   b.machine_up (100 * kS);
   ft_scheduler_job_added (b.s, spec ("req-1", 1), 5, 101 * kS, 0);
@@ -709,7 +624,7 @@
 
 TEST (Scheduler, AResultIsClearedOnlyAfterItsCommitAndNotWhileAStartMayComeLate)
 {
-  Bench b;
+  SchedulerHarness b;
   ft_scheduler_loaded (b.s, 100 * kS);
   b.machine_up (100 * kS);
   ft_scheduler_job_added (b.s, spec ("req-1", 2), 5, 100 * kS, 0);
@@ -725,7 +640,7 @@
 
 TEST (Scheduler, AnOlderReportChangesNothing)
 {
-  Bench b;
+  SchedulerHarness b;
   ft_scheduler_loaded (b.s, 100 * kS);
   b.machine_up (100 * kS, 5);
   ft_scheduler_job_added (b.s, spec ("req-1", 1), 5, 100 * kS, 0);
@@ -741,7 +656,7 @@
 
 TEST (Scheduler, AHigherTokenEndsTheLeadership)
 {
-  Bench b;
+  SchedulerHarness b;
   ft_scheduler_loaded (b.s, 100 * kS);
   g_autoptr (FtReport) r = b.report (1, 1, 4);
   EXPECT_FALSE (ft_scheduler_report (b.s, r, 101 * kS));
@@ -749,7 +664,7 @@
 
 TEST (Scheduler, AMachineOnWhichDifferentJobsFailIsReturned)
 {
-  Bench b;
+  SchedulerHarness b;
   ft_scheduler_loaded (b.s, 100 * kS);
   b.machine_up (100 * kS);
   guint64 sequence = 2, stamp = 5;
@@ -770,7 +685,7 @@
 // Found by the check of real processes: a site without work kept a machine.
 TEST (Fleet, ASiteWithoutWorkKeepsNoMachine)
 {
-  Bench b;
+  SchedulerHarness b;
   ft_scheduler_loaded (b.s, 100 * kS);
   b.machine_up (100 * kS);
   FtCloudCall *call = nullptr;
@@ -788,7 +703,7 @@
 // ever, since it needed too small a share of one.
 TEST (Fleet, OneSmallJobGetsAMachine)
 {
-  Bench b;
+  SchedulerHarness b;
   ft_scheduler_loaded (b.s, 100 * kS);
   FtJobSpec *small = spec ("req-1", 1);
   small->cpus = 0.5;
@@ -804,7 +719,7 @@
 
 TEST (Quota, UnknownTasksCountUpToWhatUnseenMachinesCanHold)
 {
-  Bench b;
+  SchedulerHarness b;
   ft_scheduler_load_job (b.s, spec ("req-1", 20), 5, 100 * kS, 0); // 80 CPUs unknown
   ft_scheduler_load_machine (b.s, "row-1", "n-9", "10.1.0.9:9000", "std", "a", FALSE);
   ft_scheduler_loaded (b.s, 100 * kS);
