A zone that cannot be reached is given up as a whole, and little is rented there

A leader inside the cut zone marked 151 healthy machines of the others for return before its lease ended.

Change: zones are judged as such (core/zone.c); a leader that has not seen the store for 3 s gives nothing up for silence.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -125,6 +125,14 @@
  * new work, and share of cancel_s after which the machine is returned as it is. */
 #define FT_DOUBT_S 5.0
 #define FT_DOUBT_MOST 0.5
+/* Machines of a zone that must all be unheard for the zone to count as unreachable: of
+ * fewer, each may have failed for itself. */
+#define FT_ZONE_MEMBERS 3
+/* Seconds between two rentals in an unreachable zone, which show whether it is back. */
+#define FT_ZONE_PROBE_EVERY_S 20.0
+/* Seconds since the store was last seen after which a leader gives up no machine for its
+ * silence: it may be cut off itself. A watch is renewed every two seconds. */
+#define FT_GIVE_UP_SIGHT_S 3.0
 /* Different jobs that must have failed in a row on a machine to shun it. */
 #define FT_FAULTY_JOBS 2
 /* Bits of an attempt number below the token, so that attempts rise with it. */
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -171,7 +171,7 @@
       continue;
     if (m->state == FT_MACHINE_BOOTING) {
       /* Listed as running but never heard from: probably gone already. */
-      supply.booting += m->listed_running ? 0 : 1;
+      supply.booting += m->listed_running || m->zone_view->unreachable ? 0 : 1;
     } else if (ft_machine_usable (s, m)) {
       supply.up += 1;
       supply.free += free_share (m);
@@ -246,7 +246,8 @@
       continue;
     for (int spot = spot_ok ? 1 : 0; spot >= 0; spot--) {
       FtPool *pool = get_pool (s, need->type->name, zone, spot);
-      if (pool->booking != NULL || pool->refused_until > s->now)
+      if (pool->booking != NULL || pool->refused_until > s->now
+          || ft_zone_rentable (ft_zone_get (s->zones, zone), s->now) == 0)
         continue;
       double cost = (spot ? need->type->spot_price : need->type->price) * FT_POOL_PRICE_WEIGHT + machines_in (s, pool);
       if (cost < best_cost) {
@@ -264,7 +265,9 @@
   FtPool *pool = best_pool (s, need);
   if (pool == NULL || count == 0)
     return;
-  pool->asked = MIN (count, FT_RENT_MOST);
+  FtZone *zone = ft_zone_get (s->zones, pool->zone);
+  pool->asked = MIN (MIN (count, FT_RENT_MOST), ft_zone_rentable (zone, s->now));
+  ft_zone_rented (zone, s->now);
   if (pool->spot && s->tuning.spot_share < 1)
     pool->asked = 1; /* one at a time, to keep within the share */
   /* The token makes the name unique for ever: no other leadership has it. */
@@ -323,8 +326,9 @@
 }
 
 /* A controller that is itself cut off must not return a healthy fleet: silence
- * counts against a machine only while most others are heard, and only a few
- * machines are given up within a window. Deaf ones count like silent ones. */
+ * counts against a machine only while the store and most others are heard, and only
+ * a few machines are given up within a window, unless their whole zone is
+ * unreachable. Deaf ones count like silent ones. */
 static gboolean
 may_give_up (FtScheduler *s, const FtMachine *machine, guint up, guint lost)
 {
@@ -334,7 +338,11 @@
   }
   guint most = MAX (FT_SILENT_RETURN_MIN, (guint) (FT_SILENT_RETURN_SHARE * (up + lost)));
   gint64 long_silent = (gint64) (2 * s->settings->lease_s * FT_SECOND);
-  return (lost <= up || s->now - ft_machine_unreported_since (s, machine) > long_silent) && s->silent_returned < most;
+  if (s->now - s->known_until > (gint64) (FT_GIVE_UP_SIGHT_S * FT_SECOND))
+    return FALSE;
+  if (lost > up && s->now - ft_machine_unreported_since (s, machine) <= long_silent)
+    return FALSE;
+  return machine->zone_view->unreachable || s->silent_returned < most;
 }
 
 static gboolean
@@ -489,7 +497,7 @@
     if (m->notice_until > 0 && s->now > taken && m->last_report < m->notice_until) {
       return_machine (s, m, "taken by the cloud");
     } else if (lost_why != NULL && (may_hold_withdrawn (s, m) || may_give_up (s, m, up, lost))) {
-      s->silent_returned++;
+      s->silent_returned += !m->zone_view->unreachable;
       return_machine (s, m, lost_why);
     } else if (boot_failed (s, m)) {
       return_machine (s, m, "did not come up");
--- a/src/core/machine.c
+++ b/src/core/machine.c
@@ -43,6 +43,7 @@
   machine->addr = g_strdup (addr);
   machine->type_name = g_strdup (type);
   machine->zone = g_strdup (zone);
+  machine->zone_view = ft_zone_get (s->zones, zone);
   machine->spot = spot;
   machine->type = ft_catalog_find (s->catalog, type);
   machine->rented_at = machine->idle_since = s->now;
@@ -151,6 +152,12 @@
   return (gint64) ((s->settings->report_s * FT_REPORT_GAP + FT_WORKER_TIMEOUT_S + FT_SILENCE_MARGIN_S) * FT_SECOND);
 }
 
+gint64
+ft_machine_overdue_us (const FtScheduler *s)
+{
+  return (gint64) ((s->settings->report_s * FT_REPORT_GAP + FT_OVERDUE_MARGIN_S) * FT_SECOND);
+}
+
 gint64
 ft_machine_unreported_since (const FtScheduler *s, const FtMachine *machine)
 {
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -6,6 +6,7 @@
 #include "core/spot_risk.h"
 #include "core/tuning.h"
 #include "core/types.h"
+#include "core/zone.h"
 
 typedef struct _FtJob FtJob;
 typedef struct _FtTeam FtTeam;
@@ -84,6 +85,7 @@
 struct _FtMachine {
   FtScheduler *scheduler; /* borrowed */
   char *name, *addr, *zone, *type_name;
+  FtZone *zone_view;         /* of the scheduler's zones */
   const FtMachineType *type; /* of the scheduler's catalog; NULL if not in it */
   gboolean spot;
   FtMachineState state; /* changed by ft_machine_set_state() only */
@@ -154,6 +156,7 @@
   FtCatalog *catalog;
   guint64 token;
   gint64 now, took_over_at, hold_us;
+  gint64 loaded_at; /* when the rows were read */
   GRand *random;
   guint64 next_attempt, next_booking;
   FtTuning tuning;
@@ -163,6 +166,7 @@
   FtTeam *teams;
   GHashTable *jobs;     /* ref -> FtJob, owned */
   GHashTable *machines; /* name -> FtMachine, owned */
+  GHashTable *zones;    /* name -> FtZone, owned */
   GHashTable *gone;     /* names returned or failed */
   GHashTable *pools;    /* "type/zone/kind" -> FtPool, owned */
   GPtrArray *order;     /* open jobs in order of placement, as of the last pass */
@@ -231,6 +235,8 @@
  * nothing comes from a machine until it counts as silent. */
 gint64 ft_machine_lease_us (const FtScheduler *s);
 gint64 ft_machine_silence_us (const FtScheduler *s);
+/* After how long without one a machine's report is overdue. */
+gint64 ft_machine_overdue_us (const FtScheduler *s);
 /* Since when it could have reported to us, and has not. */
 gint64 ft_machine_unreported_since (const FtScheduler *s, const FtMachine *machine);
 gboolean ft_machine_idle (const FtMachine *machine);
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -30,6 +30,7 @@
     s->teams[i].limit = &settings->teams[i];
   s->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) ft_job_free);
   s->machines = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) ft_machine_free);
+  s->zones = ft_zones_new ();
   s->gone = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   s->pools = ft_fleet_pools_new ();
   s->order = g_ptr_array_new ();
@@ -53,6 +54,7 @@
   /* Attempts know their jobs: machines go first. */
   g_hash_table_unref (s->machines);
   g_hash_table_unref (s->jobs);
+  g_hash_table_unref (s->zones);
   g_hash_table_unref (s->gone);
   g_hash_table_unref (s->drained);
   g_hash_table_unref (s->pools);
@@ -577,6 +579,7 @@
   machine->sequence = report->sequence;
   if (is_report)
     machine->last_checkin = s->now;
+  ft_zone_heard (machine->zone_view, s->now);
   now_up (s, machine);
   ft_roster_add (s, machine);
   if (report->token >= s->token)
@@ -714,8 +717,7 @@
 static gboolean
 report_overdue (const FtScheduler *s, const FtMachine *machine)
 {
-  double gap = s->settings->report_s * FT_REPORT_GAP + FT_OVERDUE_MARGIN_S;
-  return s->now - silent_since (s, machine) > (gint64) (gap * FT_SECOND);
+  return s->now - silent_since (s, machine) > ft_machine_overdue_us (s);
 }
 
 static gboolean
@@ -858,6 +860,7 @@
   gpointer value;
   s->now = now;
   s->loaded = s->dirty = TRUE;
+  s->loaded_at = now;
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     FtMachine *machine = value;
@@ -896,7 +899,8 @@
    * this controller is busy, and gives back no healthy fleet for its own lateness. */
   gboolean silent = s->now - silent_since (s, machine) > ft_machine_silence_us (s)
                     || (report_overdue (s, machine)
-                        && machine->probe_fails >= (machine->accounted ? FT_PROBES : FT_PROBES_TAKEOVER));
+                        && (machine->zone_view->unreachable
+                            || machine->probe_fails >= (machine->accounted ? FT_PROBES : FT_PROBES_TAKEOVER)));
   if (machine->state == FT_MACHINE_UP && silent)
     ft_machine_set_state (machine, FT_MACHINE_SILENT);
 }
@@ -926,6 +930,7 @@
   if (s->last_tick > 0 && now - s->last_tick > seconds (FT_LATE_TICK_S))
     s->hearing_since = now;
   s->last_tick = now;
+  ft_zones_update (s);
   g_hash_table_iter_init (&it, s->machines);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     FtMachine *machine = value;
--- /dev/null
+++ b/src/core/zone.c
@@ -0,0 +1,108 @@
+#include "core/zone.h"
+
+#include "core/constants.h"
+#include "core/model.h"
+
+static void
+zone_free (FtZone *zone)
+{
+  g_free (zone->name);
+  g_free (zone);
+}
+
+GHashTable *
+ft_zones_new (void)
+{
+  return g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) zone_free);
+}
+
+FtZone *
+ft_zone_get (GHashTable *zones, const char *name)
+{
+  FtZone *zone = g_hash_table_lookup (zones, name);
+  if (zone == NULL) {
+    zone = g_new0 (FtZone, 1);
+    zone->name = g_strdup (name);
+    g_hash_table_insert (zones, zone->name, zone);
+  }
+  return zone;
+}
+
+static void
+set_unreachable (FtZone *zone, gboolean unreachable)
+{
+  if (zone->unreachable == unreachable)
+    return;
+  zone->unreachable = unreachable;
+  g_message ("zone %s: %s", zone->name, unreachable ? "unreachable, no machine of it is heard" : "reachable again");
+}
+
+void
+ft_zone_heard (FtZone *zone, gint64 now)
+{
+  zone->last_heard = now;
+  set_unreachable (zone, FALSE);
+}
+
+static void
+count_members (FtScheduler *s)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, s->zones);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    ((FtZone *) value)->members = 0;
+  g_hash_table_iter_init (&it, s->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    const FtMachine *machine = value;
+    machine->zone_view->members += machine->state == FT_MACHINE_UP || machine->state == FT_MACHINE_SILENT;
+  }
+}
+
+/* Whether a member must have reported by now, had it been able to. */
+static gboolean
+quiet (const FtScheduler *s, const FtZone *zone)
+{
+  gint64 since = MAX (zone->last_heard, MAX (s->hearing_since, s->answering_since));
+  return zone->members >= FT_ZONE_MEMBERS && s->now - MAX (since, s->loaded_at) > ft_machine_overdue_us (s);
+}
+
+static gboolean
+heard_of_late (const FtScheduler *s, const FtZone *zone)
+{
+  return zone->members > 0 && zone->last_heard > 0 && s->now - zone->last_heard <= ft_machine_overdue_us (s);
+}
+
+void
+ft_zones_update (FtScheduler *s)
+{
+  GHashTableIter it;
+  gpointer value;
+  gboolean any_heard = FALSE;
+  count_members (s);
+  g_hash_table_iter_init (&it, s->zones);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    any_heard |= heard_of_late (s, value);
+  /* A leader that hears nobody is cut off itself, and can judge no zone. */
+  if (!any_heard)
+    return;
+  g_hash_table_iter_init (&it, s->zones);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    if (quiet (s, value))
+      set_unreachable (value, TRUE);
+}
+
+guint
+ft_zone_rentable (const FtZone *zone, gint64 now)
+{
+  if (!zone->unreachable)
+    return G_MAXUINT;
+  return now >= zone->probe_at ? 1 : 0;
+}
+
+void
+ft_zone_rented (FtZone *zone, gint64 now)
+{
+  if (zone->unreachable)
+    zone->probe_at = now + (gint64) (FT_ZONE_PROBE_EVERY_S * FT_SECOND);
+}
