Faulty machines are told from mistaken jobs by comparison, and emptied before they go

By reading: two mistaken jobs at once marked machine after machine.

A failure counts if tasks of the same job do well elsewhere; a job that failed on three machines and does well nowhere blames none; at most a quarter of the machines is shunned at once; a faulty machine is returned when it is empty.

Tests Fault.*, SickMachines (many sick machines beside arrays of 400 tasks, tasks that fill a machine and a mistaken job); without the comparison the tests of it are red.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -133,8 +133,18 @@
 /* Seconds since the store was last seen after which a leader gives up no machine for its
  * silence: it may be cut off itself. A watch is renewed every two seconds. */
 #define FT_GIVE_UP_SIGHT_S 3.0
-/* Different jobs that must have failed in a row on a machine to shun it. */
-#define FT_FAULTY_JOBS 2
+/* Failures in a row that count against a machine, to shun it: one may be chance. */
+#define FT_FAULTS 2
+/* Machines on which a job must have failed, and done well on none, to count as mistaken. */
+#define FT_MISTAKEN_MACHINES 3
+/* Seconds by which a task must have outlived those of its job that failed to do well:
+ * reports tell of a start some seconds late. */
+#define FT_FAULT_MARGIN_S 2.0
+/* Attempts of a job looked at to see whether one does well: bounds the cost of a failure. */
+#define FT_FAULT_ATTEMPTS 256
+/* Machines that may be shunned at once: at least, and as a share of all. */
+#define FT_FAULTY_LEAST 2
+#define FT_FAULTY_SHARE 0.25
 /* Bits of an attempt number below the token, so that attempts rise with it. */
 #define FT_ATTEMPT_BITS 24
 
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -2,6 +2,7 @@
 
 #include <math.h>
 
+#include "core/fault.h"
 #include "core/model.h"
 
 /* One place to rent from: a type in a zone, spot or ordinary. */
@@ -503,7 +504,8 @@
       return_machine (s, m, "did not come up");
     } else if (in_doubt (s, m)) {
       return_machine (s, m, "a withdrawn start in doubt");
-    } else if (m->faulty && m->accounted && m->failing_jobs >= FT_FAULTY_JOBS) {
+    } else if (m->faulty && m->accounted && ft_fault_proven (m) && ft_machine_idle (m)) {
+      /* What ran before it became faulty may well complete. */
       return_machine (s, m, "faulty");
     }
   }
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -63,7 +63,9 @@
   gboolean guaranteed, too_late;
   gboolean begun;    /* a task of it has been placed, or was found done or on a machine */
   gboolean overlong; /* it has waited to begin for as long as any may */
-  guint errors;
+  const FtMachine *failed_on[FT_MISTAKEN_MACHINES]; /* different machines, the first few; compared only */
+  guint n_failed_on;
+  gint64 failed_after; /* longest run of a task that failed */
   gint64 not_before;
   gint64 pass_blocked; /* pass in which no machine had room */
 };
@@ -111,7 +113,7 @@
   gboolean listed_running;
   gboolean command_in_flight, return_in_flight;
   gboolean in_doubt; /* a direct start of this session got no answer */
-  guint failing_jobs;
+  guint faults;                 /* failures in a row that count against it; see fault.h */
   guint64 last_failed;          /* stamp of the job that failed here last */
   double cpus, gpus, memory_gb; /* taken by attempts not known to be over */
   GHashTable *attempts;         /* set of FtAttempt, owned */
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -1,5 +1,6 @@
 #include "core/scheduler.h"
 
+#include "core/fault.h"
 #include "core/fleet.h"
 #include "core/model.h"
 
@@ -267,23 +268,13 @@
 task_failed (FtScheduler *s, FtAttempt *a, FtWhy why)
 {
   FtJob *job = a->job;
-  FtMachine *machine = a->machine;
   FtTask *task = &job->tasks[a->index];
   task->fails = MIN (task->fails + 1, FT_FAILS_COUNTED);
-  task->avoid = machine;
+  task->avoid = a->machine;
   double pause = MIN (FT_RETRY_FIRST_S * (1u << (task->fails - 1)), FT_RETRY_LONGEST_S);
   task->not_before = s->now + (gint64) (pause * FT_SECOND);
-  if (why != FT_WHY_ERROR)
-    return;
-  /* One job that fails everywhere is its owner's mistake; different jobs that
-   * fail on one machine are the machine's. */
-  if (machine->last_failed != job->stamp)
-    machine->failing_jobs++;
-  machine->last_failed = job->stamp;
-  if (machine->failing_jobs >= FT_FAULTY_JOBS && !machine->faulty) {
-    machine->faulty = TRUE;
-    g_warning ("machine %s: faulty, %u jobs failed on it", machine->name, machine->failing_jobs);
-  }
+  if (why == FT_WHY_ERROR)
+    ft_fault_task_failed (s, a);
 }
 
 static void
@@ -296,8 +287,7 @@
   ft_attempt_release (a);
   s->dirty = TRUE;
   if (a->bound && why == FT_WHY_DONE) {
-    machine->failing_jobs = 0;
-    machine->last_failed = 0;
+    ft_fault_task_completed (machine);
     ft_task_set_state (a->job, a->index, FT_TASK_FINISHED);
     if (a->job->state == FT_JOB_WITHDRAWN)
       ft_task_set_state (a->job, a->index, FT_TASK_DROPPED);
@@ -1374,7 +1364,7 @@
   if (m->drained)
     return "drained by an operator";
   if (m->faulty)
-    return "tasks of different jobs failed on it";
+    return "tasks failed on it that were not to blame";
   if (m->notice_until > 0)
     return "the cloud takes it back";
   if (!m->accounted)
--- a/tests/scheduler_harness.hpp
+++ b/tests/scheduler_harness.hpp
@@ -87,9 +87,10 @@
     ASSERT_TRUE (ft_scheduler_report (s, r, now));
   }
   GArray *
-  exchange (gint64 now, guint64 sequence, std::vector<FtReportedTask> tasks = {}, guint64 session = 1)
+  exchange (gint64 now, guint64 sequence, std::vector<FtReportedTask> tasks = {}, guint64 session = 1,
+            const char *machine = "n-1")
   {
-    g_autoptr (FtReport) r = report (session, sequence, 3);
+    g_autoptr (FtReport) r = report (session, sequence, 3, machine);
     for (FtReportedTask t : tasks) {
       t.job = g_strdup (t.job);
       g_array_append_val (r->tasks, t);
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -262,10 +262,14 @@
       world_.starts_on_mute += world_.now < mute_until && world_.now > mute_since + 3 * lease;
       world_.checker->on (world_.now, t.job, t.index, { name, zone, spot });
       t.at = world_.now + (Time) ((kept ? 0 : world_.run_s[t.job] * world_.uniform (0.5, 1.5)) * kSecond);
+      t.fails = world_.mistaken.count (t.job) > 0 || world_.now < sick_until;
+      if (t.fails)
+        t.at = world_.now;
       changed ();
     }
     if (t.state == FT_REPORTED_RUNNING && world_.now >= t.at) {
-      bool fails = world_.failing.count (name) > 0;
+      bool fails = t.fails || world_.failing.count (name) > 0;
+      world_.failures += fails;
       if (!fails) {
         world_.results.insert (task_name (t));
         world_.checker->finished (t.job, t.index);
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -182,6 +182,7 @@
   FtReportedState state = FT_REPORTED_FETCHING;
   FtWhy why = FT_WHY_NONE;
   Time at = 0; // when it gets its image, or completes
+  bool fails = false;
 };
 
 // One machine with its worker.
@@ -209,6 +210,7 @@
   bool alive = true, up = false;
   std::string name, zone;
   bool spot;
+  Time sick_until = 0; // every task that it starts until then fails at once
   Time hung_until = 0, deaf_until = 0, mute_until = 0, mute_since = 0;
 
 private:
@@ -324,7 +326,9 @@
   std::set<std::string> results; // tasks whose result a worker keeps
   std::vector<std::unique_ptr<Node> > nodes;
   std::unique_ptr<Checker> checker;
-  std::set<std::string> failing; // machines on which every task fails
+  std::set<std::string> failing;  // machines on which every task fails
+  std::set<std::string> mistaken; // jobs whose tasks fail at once on every machine
+  guint failures = 0;             // tasks that have failed
   guint machine_count = 0;       // ever rented
   guint alive_machines () const;
 
--- /dev/null
+++ b/tests/test_fault.cpp
@@ -0,0 +1,208 @@
+// Faulty machines are told from mistaken jobs by comparison.
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "day.hpp"
+#include "scheduler_harness.hpp"
+
+extern "C" {
+#include "core/fault.h"
+}
+
+namespace {
+
+// Machines, each with an attempt of any job that a test wishes to fail or to complete there.
+struct Fleet : SchedulerHarness {
+  gint64 now = 100 * kS;
+  guint64 sequence = 1;
+  guint machines;
+  explicit Fleet (guint n) : machines (n)
+  {
+    ft_scheduler_loaded (s, now);
+    for (guint i = 0; i < n; i++)
+      machine_up (now, sequence, name (i).c_str ());
+  }
+  static std::string
+  name (guint i)
+  {
+    return "n-" + std::to_string (i + 1);
+  }
+  FtMachine *
+  at (guint i)
+  {
+    return machine (name (i).c_str ());
+  }
+  void
+  add_job (const char *ref, guint tasks, guint64 stamp)
+  {
+    FtJobSpec *wanted = spec (ref, tasks);
+    wanted->cpus = 0.1;
+    ft_scheduler_job_added (s, wanted, stamp, now, 0);
+  }
+  // The attempt ends, or shows that it runs, on that machine, wherever the scheduler would have put it.
+  void
+  show (const char *ref, guint index, guint on, FtReportedState state, FtWhy why)
+  {
+    static guint64 attempt = 1000;
+    FtReportedTask t = { (char *) ref, index, ++attempt, state, why, FALSE };
+    FtAttempt *a = ft_attempt_new (at (on), job (ref), ref, index, t.attempt);
+    ft_attempt_hold (a);
+    ft_attempt_bind (a, FT_TASK_STARTING);
+    s->may_start = FALSE;
+    g_autoptr (FtReport) r = report (1, ++sequence, 3, name (on).c_str ());
+    t.job = g_strdup (ref);
+    g_array_append_val (r->tasks, t);
+    ASSERT_TRUE (ft_scheduler_report (s, r, now));
+  }
+  void
+  fail (const char *ref, guint index, guint on)
+  {
+    show (ref, index, on, FT_REPORTED_EXITED, FT_WHY_ERROR);
+  }
+  guint
+  faulty ()
+  {
+    guint n = 0;
+    for (guint i = 0; i < machines; i++)
+      n += at (i)->faulty;
+    return n;
+  }
+};
+
+// Found on the schools' day with machines that fail: one array fed them task after task.
+TEST (Fault, OneJobIsEnoughIfItDoesWellElsewhere)
+{
+  Fleet fleet (4);
+  fleet.add_job ("req-1", 10, 5);
+  fleet.show ("req-1", 0, 1, FT_REPORTED_EXITED, FT_WHY_DONE);
+  fleet.fail ("req-1", 1, 0);
+  EXPECT_FALSE (fleet.at (0)->faulty) << "one failure may be chance";
+  fleet.fail ("req-1", 2, 0);
+  EXPECT_TRUE (fleet.at (0)->faulty);
+  EXPECT_EQ (fleet.faulty (), 1u);
+}
+
+TEST (Fault, ATaskThatOutlivesThoseThatFailedDoesWell)
+{
+  Fleet fleet (4);
+  fleet.add_job ("req-1", 10, 5);
+  fleet.show ("req-1", 0, 1, FT_REPORTED_RUNNING, FT_WHY_NONE);
+  fleet.now += (gint64) ((FT_FAULT_MARGIN_S + 1) * kS);
+  for (guint task : { 1, 2 })
+    fleet.fail ("req-1", task, 0);
+  EXPECT_TRUE (fleet.at (0)->faulty);
+}
+
+TEST (Fault, MistakenJobsBlameNoMachineBeyondTheFirst)
+{
+  Fleet fleet (20);
+  fleet.add_job ("req-1", 20, 5);
+  fleet.add_job ("req-2", 20, 6);
+  for (guint i = 0; i < fleet.machines; i++) {
+    fleet.fail ("req-1", i, i);
+    fleet.fail ("req-2", i, i);
+  }
+  EXPECT_LT (fleet.faulty (), FT_MISTAKEN_MACHINES);
+}
+
+TEST (Fault, ACompletedTaskClearsItsMachine)
+{
+  Fleet fleet (4);
+  fleet.add_job ("req-1", 10, 5);
+  fleet.show ("req-1", 0, 1, FT_REPORTED_EXITED, FT_WHY_DONE);
+  fleet.fail ("req-1", 1, 0);
+  fleet.show ("req-1", 2, 0, FT_REPORTED_EXITED, FT_WHY_DONE);
+  fleet.fail ("req-1", 3, 0);
+  EXPECT_EQ (fleet.faulty (), 0u);
+}
+
+TEST (Fault, MostMachinesAreNeverShunned)
+{
+  Fleet fleet (20);
+  fleet.add_job ("req-1", 60, 5);
+  fleet.show ("req-1", 0, 0, FT_REPORTED_EXITED, FT_WHY_DONE);
+  for (guint i = 0; i < fleet.machines; i++)
+    for (guint task : { 1 + 2 * i, 2 + 2 * i })
+      fleet.fail ("req-1", task, i);
+  EXPECT_EQ (fleet.faulty (), (guint) (FT_FAULTY_SHARE * fleet.machines));
+}
+
+// Found on the same day: what had run for a minute was lost with its machine.
+TEST (Fault, AFaultyMachineIsReturnedOnceItIsEmpty)
+{
+  Fleet fleet (4);
+  fleet.add_job ("req-1", 10, 5);
+  fleet.show ("req-1", 0, 1, FT_REPORTED_EXITED, FT_WHY_DONE);
+  FtAttempt *running = ft_attempt_new (fleet.at (0), fleet.job ("req-1"), "req-1", 9, 77);
+  running->shown = running->running = TRUE;
+  ft_attempt_hold (running);
+  ft_attempt_bind (running, FT_TASK_RUNNING);
+  for (guint task : { 1, 2 }) {
+    FtAttempt *a = ft_attempt_new (fleet.at (0), fleet.job ("req-1"), "req-1", task, 80 + task);
+    ft_attempt_hold (a);
+    ft_attempt_bind (a, FT_TASK_STARTING);
+    ft_fault_task_failed (fleet.s, a);
+    ft_attempt_over (fleet.s, a);
+  }
+  ASSERT_TRUE (fleet.at (0)->faulty);
+  EXPECT_FALSE (ft_machine_usable (fleet.s, fleet.at (0)));
+  ft_scheduler_tick (fleet.s, fleet.now, FALSE);
+  EXPECT_EQ (fleet.at (0)->state, FT_MACHINE_UP) << "a task of it may well complete";
+  ft_attempt_over (fleet.s, running);
+  ft_scheduler_tick (fleet.s, fleet.now, FALSE);
+  EXPECT_EQ (fleet.at (0)->state, FT_MACHINE_RETURNING);
+}
+
+// The same in the stand-in world: many machines at once fail each task that they start, and
+// are well again later; arrays of 400 tasks of one CPU stand beside tasks that fill a machine
+// and a job that was submitted with a mistake.
+class SickMachines : public testing::TestWithParam<guint32> {};
+
+TEST_P (SickMachines, CostFewFailuresAndMistakenJobsCostNoMachine)
+{
+  sim::Day day (GetParam () * 977, 10);
+  sim::World &world = day.world;
+  sim::Time sick_at = 40 * sim::kSecond, sick_for = 60 * sim::kSecond;
+  world.settings.value_kb = 8;
+  for (int i = 0; i < 3; i++) {
+    world.at ((5 + 15 * i) * sim::kSecond,
+              [&, i] { world.submit ("req-1" + std::to_string (i), 400, 1, 20, "red", false, false, true); });
+    world.at ((7 + 15 * i) * sim::kSecond,
+              [&, i] { world.submit ("req-2" + std::to_string (i), 10, 16, 15, "blue", false, false, true); });
+  }
+  world.at (30 * sim::kSecond, [&] {
+    world.mistaken.insert ("req-30");
+    world.submit ("req-30", 40, 1, 10, "blue", false, false, true);
+  });
+  world.at (150 * sim::kSecond, [&] { world.withdraw ("req-30"); });
+  for (const char *ref : { "req-10", "req-11", "req-12", "req-20", "req-21", "req-22", "req-30" })
+    for (sim::Time at = 50 * sim::kSecond; at < day.length; at += 7 * sim::kSecond)
+      world.at (at, [&world, ref] { world.poll (ref); });
+  guint up = 0, sick = 0, failures = 0;
+  world.at (sick_at, [&] {
+    failures = world.failures;
+    for (auto &[name, worker] : world.machines)
+      if (worker->alive && worker->up) {
+        up++;
+        if (up % 5 == 0) {
+          worker->sick_until = sick_at + sick_for;
+          sick++;
+        }
+      }
+  });
+  guint before = 0, mistaken = 0;
+  world.at (sick_at + sick_for, [&] { before = world.failures; });
+  world.at (149 * sim::kSecond, [&] { mistaken = world.failures - before; });
+  day.finish ();
+  RecordProperty ("up", (int) up);
+  EXPECT_GE (sick, 8u) << "a fifth of the machines must have failed";
+  EXPECT_GT (before, failures) << "no task met a sick machine";
+  RecordProperty ("failures", (int) (before - failures));
+  EXPECT_LT (before - failures, 400u) << "sick machines drew task after task";
+  EXPECT_GT (mistaken, 0u) << "the mistaken job did not go on failing";
+}
+
+INSTANTIATE_TEST_SUITE_P (Seeds, SickMachines, testing::Range<guint32> (1, 4));
+
+} // namespace
