An older event of a finished job does not bring it back

Change: a leader remembers the jobs that it has closed, bounded. The bounded map of final states in the user API was the same logic and uses the same module now.

--- a/src/core/model.h
+++ b/src/core/model.h
@@ -2,6 +2,7 @@
  * belongs to one FtScheduler and dies with it, that is with the leadership. */
 #pragma once
 #include "core/constants.h"
+#include "core/recent_map.h"
 #include "core/scheduler.h"
 #include "core/spot_risk.h"
 #include "core/tuning.h"
@@ -167,6 +168,7 @@
   gint64 pass;
   FtTeam *teams;
   GHashTable *jobs;     /* ref -> FtJob, owned */
+  FtRecentMap *closed;  /* refs of jobs whose end this leader has committed or read */
   GHashTable *machines; /* name -> FtMachine, owned */
   GHashTable *zones;    /* name -> FtZone, owned */
   GHashTable *gone;     /* names returned or failed */
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -30,6 +30,7 @@
   for (guint i = 0; i < settings->n_teams; i++)
     s->teams[i].limit = &settings->teams[i];
   s->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) ft_job_free);
+  s->closed = ft_recent_map_new (FT_FINAL_CACHE);
   s->machines = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) ft_machine_free);
   s->zones = ft_zones_new ();
   s->gone = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -55,6 +56,7 @@
   /* Attempts know their jobs: machines go first. */
   g_hash_table_unref (s->machines);
   g_hash_table_unref (s->jobs);
+  ft_recent_map_free (s->closed);
   g_hash_table_unref (s->zones);
   g_hash_table_unref (s->gone);
   g_hash_table_unref (s->drained);
@@ -102,7 +104,8 @@
 static FtJob *
 add_job (FtScheduler *s, FtJobSpec *spec, guint64 stamp, FtTaskState initial, gint64 wall_ms)
 {
-  if (g_hash_table_contains (s->jobs, spec->ref)) {
+  /* An event of the watch may be older than the job's end: a job ends once. */
+  if (g_hash_table_contains (s->jobs, spec->ref) || ft_recent_map_find (s->closed, spec->ref, NULL)) {
     ft_job_spec_free (spec);
     return NULL;
   }
@@ -209,6 +212,7 @@
 {
   g_autoptr (GList) all = g_hash_table_get_keys (job->attempts);
   ft_job_set_state (job, FT_JOB_CLOSED);
+  ft_recent_map_add (s->closed, job->spec->ref, job->state);
   for (GList *l = all; l != NULL; l = l->next) {
     FtAttempt *attempt = l->data;
     attempt->job = NULL;
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -3,6 +3,7 @@
 #pragma once
 #include "config.h"
 #include "core/lease.h"
+#include "core/recent_map.h"
 #include "core/scheduler.h"
 #include "net/budget.h"
 #include "net/http.h"
@@ -67,8 +68,7 @@
   gboolean settings_in_flight;
 
   FtPolls *polls;
-  GHashTable *finals; /* ref -> final state (static text) */
-  GQueue final_order;
+  FtRecentMap *finals; /* ref -> final state and count of tasks, packed by user_api.c */
   guint timer;
 };
 
--- a/src/net/user_api.c
+++ b/src/net/user_api.c
@@ -57,16 +57,8 @@
 static void
 remember_final (FtNode *node, const char *ref, const char *state, guint tasks)
 {
-  if (g_hash_table_contains (node->finals, ref))
-    return;
   /* One number holds the count of tasks and, in its last bit, the state. */
-  guint packed = tasks * 2 + (strcmp (state, "done") == 0);
-  g_hash_table_insert (node->finals, g_strdup (ref), GUINT_TO_POINTER (packed));
-  g_queue_push_tail (&node->final_order, g_strdup (ref));
-  if (g_queue_get_length (&node->final_order) > FT_FINAL_CACHE) {
-    g_autofree char *oldest = g_queue_pop_head (&node->final_order);
-    g_hash_table_remove (node->finals, oldest);
-  }
+  ft_recent_map_add (node->finals, ref, tasks * 2 + (strcmp (state, "done") == 0));
 }
 
 static json_t *
@@ -80,11 +72,10 @@
 static json_t *
 remembered (FtNode *node, const char *ref)
 {
-  gpointer packed;
-  if (!g_hash_table_lookup_extended (node->finals, ref, NULL, &packed))
+  guint packed;
+  if (!ft_recent_map_find (node->finals, ref, &packed))
     return NULL;
-  guint value = GPOINTER_TO_UINT (packed);
-  return final_body (ref, value % 2 ? "done" : "cancelled", value / 2);
+  return final_body (ref, packed % 2 ? "done" : "cancelled", packed / 2);
 }
 
 /* An open job's counts are for display: the leader's own, or its last summary. */
--- a/tests/test_units.cpp
+++ b/tests/test_units.cpp
@@ -542,6 +542,26 @@
   EXPECT_FALSE (ft_scheduler_view (b.s, "req-1").known);
 }
 
+// The watch's answer may be older than the commit of a job's end; it must not place the job anew.
+TEST (Scheduler, AnOlderEventOfAFinishedJobDoesNotBringItBack)
+{
+  SchedulerHarness b;
+  ft_scheduler_loaded (b.s, 100 * kS);
+  b.machine_up (100 * kS);
+  ft_scheduler_job_added (b.s, spec ("req-1", 1), 5, 100 * kS, 0);
+  g_autoptr (GArray) starts = b.exchange (101 * kS, 2);
+  ASSERT_EQ (count (starts, FT_COMMAND_START), 1u);
+  FtReportedTask t
+      = { (char *) "req-1", 0, g_array_index (starts, FtCommand, 0).attempt, FT_REPORTED_EXITED, FT_WHY_DONE, FALSE };
+  g_autoptr (GArray) rest = b.exchange (102 * kS, 3, { t });
+  b.write (102 * kS);
+  ASSERT_FALSE (ft_scheduler_view (b.s, "req-1").known) << "its end is committed";
+  ft_scheduler_job_added (b.s, spec ("req-1", 1), 5, 103 * kS, 0);
+  EXPECT_FALSE (ft_scheduler_view (b.s, "req-1").known);
+  g_autoptr (GArray) again = b.exchange (103 * kS, 4);
+  EXPECT_EQ (count (again, FT_COMMAND_START), 0u);
+}
+
 TEST (Scheduler, UnknownTasksWaitForTheRosterMachine)
 {
   SchedulerHarness b;
