A new leader answers nobody before it has read the roster

Ruled out: answers of the refused leader, whose hold ends in time. Change: the lease is told of the sight after the roster is read, in the program and in the stand-in world.

--- a/src/net/leader.c
+++ b/src/net/leader.c
@@ -145,12 +145,12 @@
 static void
 load_finished (FtNode *node, const char *prefix, gint64 began_at)
 {
-  if (strcmp (prefix, FT_PREFIX_OPEN) == 0) {
-    /* The pages differ in age, and an outage may lie between them: what is known is
-     * known as of the first. What came later comes by the watch. */
-    know (node, began_at);
-  }
+  /* The pages differ in age, and an outage may lie between them: what is known is
+   * known as of the first. What came later comes by the watch. */
+  if (strcmp (prefix, FT_PREFIX_OPEN) == 0)
+    node->withdrawals_read_at = began_at;
   if (ft_scheduler_is_loaded (node->scheduler)) {
+    know (node, node->withdrawals_read_at);
     node->next_watch = 0;
   } else if (strcmp (prefix, FT_PREFIX_OPEN) == 0) {
     load_next (node, FT_PREFIX_DONE, NULL, 0);
@@ -160,6 +160,9 @@
     load_next (node, FT_PREFIX_ROSTER, NULL, 0);
   } else {
     ft_scheduler_loaded (node->scheduler, g_get_monotonic_time ());
+    /* Only now: without the roster a withdrawn task that is known of cannot be stopped, and
+     * each answer to its worker would keep it alive. */
+    know (node, node->withdrawals_read_at);
     ft_metrics_time (node->metrics, FT_TIME_RECOVERY, g_get_monotonic_time () - node->led_since);
     node->next_watch = 0;
     g_message ("node %s: leader under token %" G_GUINT64_FORMAT ", recovered the store", node->config->member,
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -43,6 +43,7 @@
   gboolean sweep_in_flight, renew_in_flight, batch_in_flight, list_in_flight, catalog_in_flight, watch_in_flight;
   guint directs, cloud_calls;
   guint64 watch_since;
+  gint64 withdrawals_read_at; /* when the reading of the open jobs' rows began */
   gint64 last_tick;
   gint64 next_scheduler_tick, next_list, next_catalog, next_mesh, next_batch, next_watch;
   gint64 led_since;
--- a/tests/sim/node.cpp
+++ b/tests/sim/node.cpp
@@ -320,10 +320,12 @@
                else if (prefix == FT_PREFIX_DONE)
                  load (FT_PREFIX_ROSTER, "", clock ());
                else if (prefix == FT_PREFIX_OPEN) {
-                 know (began); // the pages differ in age
+                 withdrawals_read_at_ = began; // the pages differ in age
                  load (FT_PREFIX_DONE, "", clock ());
-               } else
+               } else {
                  ft_scheduler_loaded (scheduler_.get (), clock ());
+                 know (withdrawals_read_at_);
+               }
              });
 }
 
@@ -360,13 +362,19 @@
   });
 }
 
+bool
+Node::entitled () const
+{
+  return scheduler_ != nullptr && ft_lease_may_answer (lease_.get (), clock ());
+}
+
 Node::Answer
 Node::report (const FtReport *report)
 {
   Answer a;
   Time now = clock ();
   a.status = 421;
-  if (scheduler_ == nullptr || !ft_lease_may_answer (lease_.get (), now)) {
+  if (!entitled ()) {
     const char *holder = ft_lease_holder (lease_.get ());
     if (holder != nullptr && name () != holder)
       a.answers_to = holder[strlen (holder) - 1] - '0';
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -387,6 +387,8 @@
   bool served () const;
   // It has committed a withdrawal.
   void confirmed (const std::string &ref);
+  // It would answer a worker's report now.
+  bool entitled () const;
   guint answers = 0; // reports answered with 200
   // Serves a worker's report: status, token, commands, leader to go to.
   struct Answer {
@@ -462,6 +464,7 @@
   guint64 journal_stamp_ = 0, batch_ = 0, watch_since_ = 0;
   bool sweeping_ = false, renewing_ = false, batching_ = false, watching_ = false, cloud_busy_ = false;
   Time hold_ = 0, next_list_ = 0, now_refused_ = 0;
+  Time withdrawals_read_at_ = 0; // when the reading of the open jobs' rows began
 };
 
 } // namespace sim
--- a/tests/test_meetings.cpp
+++ b/tests/test_meetings.cpp
@@ -77,6 +77,41 @@
   EXPECT_TRUE (reading) << "the outage did not fall into the reading";
 }
 
+// It has read which jobs are withdrawn, and not yet the roster: it knows of the tasks, and
+// could stop none.
+TEST_P (Meeting, OutageBetweenTheWithdrawalsAndTheRosterOfANewLeader)
+{
+  Time refusal = 60 * kSecond, claimed = 0;
+  bool between = false, entitled = false;
+  day.load_long (10, 3, 150);
+  day.refuse_leader (refusal, 40 * kSecond);
+  day.cancel_running (refusal + about (0.05, 0.2), 5);
+  std::function<void (Node *)> await_withdrawals = [&] (Node *taker) {
+    if (!taker->leads () || ft_scheduler_is_loaded (taker->scheduler ()))
+      return;
+    between = std::all_of (day.refs.begin (), day.refs.end (), [&] (const std::string &ref) {
+      return ft_scheduler_view (taker->scheduler (), ref.c_str ()).known;
+    });
+    if (!between) {
+      world.after (kSecond / 1000, [&, taker] { await_withdrawals (taker); });
+      return;
+    }
+    world.store.down = true;
+    world.after (kSecond / 2, [&, taker] { entitled = taker->entitled (); });
+    world.after (cancel + 20 * kSecond, [&] { world.store.down = false; });
+  };
+  world.on_takeover = [&] (Node &node) {
+    if (claimed > 0 || &node == day.refused || world.now < refusal)
+      return;
+    claimed = world.now;
+    await_withdrawals (&node);
+  };
+  day.finish ();
+  expect_confirmed (refusal, claimed);
+  EXPECT_TRUE (between) << "the outage did not fall between the two";
+  EXPECT_FALSE (entitled) << "it keeps alive what it cannot stop";
+}
+
 // Its pages differ in age: it is refused between them, and the outage begins when it
 // has just read the last.
 TEST_P (Meeting, OutageRightAfterRowsWereReadInPagesOfDifferentAge)
