--- a/src/config.c
+++ b/src/config.c
@@ -149,6 +149,7 @@
                 && read_params (root, c, error);
   c->core.member = c->member;
   json_decref (root);
+  // NOLINTNEXTLINE(clang-analyzer-unix.Malloc): freed by g_auto cleanup, which the analyzer does not follow
   return ok ? g_steal_pointer (&c) : NULL;
 }
 
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -136,6 +136,7 @@
     add_need (needs, type, job->spec->zone, job->spec->spot,
               tasks / per_machine (type, job->spec) / waves (s, job, type), job->pass_blocked == s->pass);
   }
+  // NOLINTNEXTLINE(clang-analyzer-unix.Malloc): freed by g_auto cleanup, which the analyzer does not follow
   return needs;
 }
 
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -97,5 +97,6 @@
     if (state == FT_TASK_FINISHED || state == FT_TASK_DONE)
       bits[i / 8] |= (guchar) (1u << (i % 8));
   }
+  // NOLINTNEXTLINE(clang-analyzer-unix.Malloc): freed by g_auto cleanup, which the analyzer does not follow
   return g_base64_encode (bits, (n + 7) / 8);
 }
--- /dev/null
+++ b/src/core/journal.c
@@ -0,0 +1,350 @@
+/* What the leader writes to the store: ends of jobs, marks, chunks of done-sets and roster
+ * rows, in batches; and what becomes of them once a batch is committed or refused. */
+#include "core/model.h"
+
+void
+ft_write_free (FtWrite *write)
+{
+  g_free (write->name);
+  if (write->machines != NULL)
+    g_array_unref (write->machines);
+  g_free (write->bits);
+  g_free (write);
+}
+
+/* Changes that a write makes in its transaction. */
+guint
+ft_write_ops (const FtWrite *write)
+{
+  switch (write->kind) {
+  case FT_WRITE_JOB_DONE:
+    return 2 + (write->chunk > 0); /* the row, the index, the first chunk */
+  case FT_WRITE_JOB_GONE:
+    return 3;
+  default:
+    return 1;
+  }
+}
+
+static FtWrite *
+write_new (FtWriteKind kind, const char *name)
+{
+  FtWrite *write = g_new0 (FtWrite, 1);
+  write->kind = kind;
+  write->name = g_strdup (name);
+  return write;
+}
+
+typedef struct {
+  GPtrArray *writes;
+  guint left;
+} Batch;
+
+static gboolean
+batch_add (Batch *batch, FtWrite *write)
+{
+  guint ops = ft_write_ops (write);
+  if (ops > batch->left) {
+    ft_write_free (write);
+    return FALSE;
+  }
+  batch->left -= ops;
+  g_ptr_array_add (batch->writes, write);
+  return TRUE;
+}
+
+static void
+add_roster (FtScheduler *s, Batch *batch)
+{
+  guint before = batch->writes->len;
+  ft_roster_writes (s, batch->writes, MIN (batch->left, FT_ROSTER_ROWS_AT_ONCE));
+  batch->left -= batch->writes->len - before;
+  while (batch->left > 0 && !g_queue_is_empty (&s->marks_drop)) {
+    g_autofree char *name = g_queue_pop_head (&s->marks_drop);
+    batch_add (batch, write_new (FT_WRITE_MARK_DROP, name));
+  }
+}
+
+static gboolean
+job_complete (const FtJob *job)
+{
+  return job->state == FT_JOB_OPEN && ft_job_finished (job) == job->spec->tasks;
+}
+
+/* Rows go only after the watch has shown the withdrawal: a wrong hint must not drop an
+ * open job, and an older event of the job that comes later must not bring it back. */
+static gboolean
+job_all_gone (const FtJob *job)
+{
+  if (job->state != FT_JOB_WITHDRAWN || !job->withdrawal_read)
+    return FALSE;
+  return ft_job_live (job) == 0 && job->counts[FT_TASK_UNKNOWN] == 0 && job->counts[FT_TASK_QUEUED] == 0;
+}
+
+static gboolean
+wants_mark (const FtJob *job)
+{
+  return job->state == FT_JOB_OPEN && job->sent_wanted > job->spec->sent && !job->sent_in_flight;
+}
+
+static void
+add_mark (FtJob *job, Batch *batch)
+{
+  FtWrite *write = write_new (FT_WRITE_SENT, job->spec->ref);
+  write->sent = job->sent_wanted;
+  write->spec = job->spec;
+  write->stamp = job->stamp;
+  job->sent_in_flight = batch_add (batch, write);
+}
+
+/* The tasks that waited for the mark can be sent. */
+static void
+mark_written (FtJob *job, guint sent)
+{
+  job->sent_in_flight = FALSE;
+  for (guint i = job->spec->sent; i < sent; i++)
+    if (job->tasks[i].attempt != NULL)
+      ft_machine_queue_direct (job->tasks[i].attempt->machine);
+  job->spec->sent = MAX (job->spec->sent, sent);
+}
+
+static void
+add_chunks (FtScheduler *s, FtJob *job, Batch *batch)
+{
+  /* A result stays with its worker until it is committed: a chunk that waits a
+   * little covers many, and the end of the job covers all. */
+  if (job->state != FT_JOB_OPEN || s->now < job->chunk_at || g_hash_table_size (job->dirty) == 0)
+    return;
+  GHashTableIter it;
+  gpointer key;
+  g_hash_table_iter_init (&it, job->dirty);
+  while (batch->left > 0 && g_hash_table_iter_next (&it, &key, NULL)) {
+    FtWrite *write = write_new (FT_WRITE_CHUNK, job->spec->ref);
+    write->chunk = GPOINTER_TO_UINT (key);
+    write->bits = ft_job_chunk_bits (job, write->chunk);
+    write->stamp = job->stamp;
+    if (batch_add (batch, write))
+      g_hash_table_iter_remove (&it);
+  }
+  job->chunk_at = s->now + (gint64) (FT_CHUNK_EVERY_S * FT_SECOND);
+}
+
+static gboolean
+job_ends (const FtJob *job)
+{
+  return !job->final_in_flight && !job->conflicted && (job_complete (job) || job_all_gone (job));
+}
+
+static void
+add_end (FtJob *job, Batch *batch)
+{
+  FtWrite *write = write_new (job_complete (job) ? FT_WRITE_JOB_DONE : FT_WRITE_JOB_GONE, job->spec->ref);
+  write->stamp = job->stamp;
+  write->tasks = job->spec->tasks;
+  write->chunk = g_hash_table_size (job->written);
+  job->final_in_flight = batch_add (batch, write);
+}
+
+/* Jobs stay in the queue while they have something to write. */
+static void
+keep_touched (FtScheduler *s)
+{
+  guint n = g_queue_get_length (&s->touched);
+  for (guint i = 0; i < n; i++) {
+    FtJob *job = g_queue_pop_head (&s->touched);
+    job->touched = FALSE;
+    if (job_ends (job) || wants_mark (job) || (job->state == FT_JOB_OPEN && g_hash_table_size (job->dirty) > 0))
+      ft_job_touch (job);
+  }
+}
+
+GPtrArray *
+ft_scheduler_next_writes (FtScheduler *s, guint ops, gint64 now)
+{
+  s->now = now;
+  Batch batch = { g_ptr_array_new_with_free_func ((GDestroyNotify) ft_write_free), ops };
+  if (!s->loaded)
+    return batch.writes;
+  add_roster (s, &batch);
+  /* Ends of jobs first: somebody waits for them. */
+  for (GList *l = s->touched.head; l != NULL && batch.left > 0; l = l->next)
+    if (job_ends (l->data))
+      add_end (l->data, &batch);
+  for (GList *l = s->touched.head; l != NULL && batch.left > 0; l = l->next)
+    if (wants_mark (l->data))
+      add_mark (l->data, &batch);
+  for (GList *l = s->touched.head; l != NULL && batch.left > 0; l = l->next) {
+    const FtJob *job = l->data;
+    if (!job->final_in_flight && !job->conflicted && !job_ends (job))
+      add_chunks (s, l->data, &batch);
+  }
+  s->looked_at += g_queue_get_length (&s->touched);
+  keep_touched (s);
+  while (batch.left > 0 && !g_queue_is_empty (&s->closing))
+    batch_add (&batch, g_queue_pop_head (&s->closing));
+  return batch.writes;
+}
+
+static void
+chunk_written (FtScheduler *s, const FtWrite *write)
+{
+  FtJob *job = g_hash_table_lookup (s->jobs, write->name);
+  if (job == NULL)
+    return;
+  g_hash_table_add (job->written, GUINT_TO_POINTER (write->chunk));
+  gsize size = 0;
+  g_autofree guchar *bits = g_base64_decode (write->bits, &size);
+  guint first = write->chunk * FT_DONE_CHUNK;
+  for (guint i = 0; i / 8 < size && first + i < job->spec->tasks; i++) {
+    FtTask *task = &job->tasks[first + i];
+    if (!(bits[i / 8] & (1u << (i % 8))) || task->state != FT_TASK_FINISHED)
+      continue;
+    ft_task_set_state (job, first + i, FT_TASK_DONE);
+    FtAttempt *a = task->attempt;
+    if (a != NULL) {
+      a->forget_ok = TRUE;
+      ft_attempt_over (s, a);
+    }
+  }
+}
+
+static void
+leave_chunks (FtScheduler *s, const FtJob *job, gboolean first_deleted)
+{
+  GHashTableIter it;
+  gpointer key;
+  g_hash_table_iter_init (&it, job->written);
+  while (g_hash_table_iter_next (&it, &key, NULL)) {
+    if (first_deleted && GPOINTER_TO_UINT (key) == 0)
+      continue;
+    FtWrite *drop = write_new (FT_WRITE_CHUNK_DROP, job->spec->ref);
+    drop->chunk = GPOINTER_TO_UINT (key);
+    g_queue_push_tail (&s->closing, drop);
+  }
+}
+
+static void
+write_done (FtScheduler *s, const FtWrite *write)
+{
+  FtJob *job = g_hash_table_lookup (s->jobs, write->name);
+  switch (write->kind) {
+  case FT_WRITE_ROSTER:
+  case FT_WRITE_ROSTER_DROP:
+    ft_roster_written (s, write, TRUE);
+    break;
+  case FT_WRITE_SENT:
+    if (job != NULL)
+      mark_written (job, write->sent);
+    break;
+  case FT_WRITE_CHUNK:
+    chunk_written (s, write);
+    break;
+  case FT_WRITE_JOB_DONE:
+  case FT_WRITE_JOB_GONE:
+    if (job == NULL)
+      break;
+    g_message ("job %s: %s committed", write->name, write->kind == FT_WRITE_JOB_DONE ? "done" : "end of withdrawal");
+    leave_chunks (s, job, TRUE);
+    ft_job_close (s, job);
+    break;
+  default:
+    break;
+  }
+}
+
+void
+ft_scheduler_written (FtScheduler *s, GPtrArray *writes, gint64 now)
+{
+  s->now = now;
+  for (guint i = 0; i < writes->len; i++)
+    write_done (s, g_ptr_array_index (writes, i));
+}
+
+static void
+write_undone (FtScheduler *s, FtWrite *write)
+{
+  FtJob *job = g_hash_table_lookup (s->jobs, write->name);
+  switch (write->kind) {
+  case FT_WRITE_ROSTER:
+  case FT_WRITE_ROSTER_DROP:
+    ft_roster_written (s, write, FALSE);
+    break;
+  case FT_WRITE_MARK_DROP:
+    g_queue_push_tail (&s->marks_drop, g_strdup (write->name));
+    break;
+  case FT_WRITE_SENT:
+    if (job == NULL)
+      break;
+    job->sent_in_flight = FALSE;
+    ft_job_touch (job);
+    break;
+  case FT_WRITE_CHUNK:
+    if (job == NULL)
+      break;
+    g_hash_table_add (job->dirty, GUINT_TO_POINTER (write->chunk));
+    job->chunk_at = s->now;
+    ft_job_touch (job);
+    break;
+  case FT_WRITE_CHUNK_DROP: {
+    FtWrite *again = write_new (FT_WRITE_CHUNK_DROP, write->name);
+    again->chunk = write->chunk;
+    g_queue_push_tail (&s->closing, again);
+    break;
+  }
+  case FT_WRITE_JOB_DONE:
+  case FT_WRITE_JOB_GONE:
+    if (job == NULL)
+      break;
+    job->final_in_flight = FALSE;
+    ft_job_touch (job);
+    break;
+  }
+}
+
+void
+ft_scheduler_unwritten (FtScheduler *s, GPtrArray *writes, const char *conflicted, gint64 now)
+{
+  s->now = now;
+  for (guint i = 0; i < writes->len; i++)
+    write_undone (s, g_ptr_array_index (writes, i));
+  FtJob *job = conflicted != NULL ? g_hash_table_lookup (s->jobs, conflicted) : NULL;
+  if (job != NULL)
+    job->conflicted = TRUE; /* until ft_scheduler_job_resolved() */
+}
+
+/* What its row says is known again; NULL: the job is not. */
+static FtJob *
+conflict_over (FtScheduler *s, const char *ref, gint64 now)
+{
+  s->now = now;
+  FtJob *job = g_hash_table_lookup (s->jobs, ref);
+  if (job == NULL)
+    return NULL;
+  job->conflicted = FALSE;
+  ft_job_touch (job);
+  return job;
+}
+
+void
+ft_scheduler_job_stands (FtScheduler *s, const char *ref, guint64 stamp, gint64 now)
+{
+  FtJob *job = conflict_over (s, ref, now);
+  if (job == NULL)
+    return;
+  g_warning ("job %s: open at another revision than was known", ref);
+  job->stamp = stamp;
+}
+
+void
+ft_scheduler_job_resolved (FtScheduler *s, const char *ref, gboolean done, gint64 now)
+{
+  FtJob *job = conflict_over (s, ref, now);
+  if (job == NULL)
+    return;
+  if (!done) {
+    ft_job_withdraw (s, job, s->now);
+    return;
+  }
+  leave_chunks (s, job, FALSE);
+  ft_job_close (s, job);
+}
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -113,7 +113,7 @@
   gboolean faulty;
   gboolean listed_running;
   gboolean command_in_flight, return_in_flight;
-  gboolean in_doubt; /* a direct start of this session got no answer */
+  gboolean in_doubt;            /* a direct start of this session got no answer */
   guint faults;                 /* failures in a row that count against it; see fault.h */
   guint64 last_failed;          /* stamp of the job that failed here last */
   double cpus, gpus, memory_gb; /* taken by attempts not known to be over */
@@ -220,6 +220,12 @@
 guint ft_job_chunks (const FtJob *job);
 char *ft_job_chunk_bits (const FtJob *job, guint chunk);
 
+/* scheduler.c */
+/* Nothing of the job starts any more, and what runs is stopped; `at`: when its withdrawal was committed. */
+void ft_job_withdraw (FtScheduler *s, FtJob *job, gint64 at);
+/* Its end is in the store: frees the job; what is left of it on machines is stopped. */
+void ft_job_close (FtScheduler *s, FtJob *job);
+
 /* machine.c */
 FtMachine *ft_machine_new (FtScheduler *s, const char *name, const char *addr, const char *type, const char *zone,
                            gboolean spot);
--- a/src/core/quota.c
+++ b/src/core/quota.c
@@ -68,4 +68,5 @@
     gpus[t] += job->spec->gpus * job->spec->tasks;
     job->guaranteed = cpus[t] <= job->team->limit->cpus + EPSILON && gpus[t] <= job->team->limit->gpus + EPSILON;
   }
+  // NOLINTNEXTLINE(clang-analyzer-unix.Malloc): freed by g_auto cleanup, which the analyzer does not follow
 }
--- a/src/core/roster.c
+++ b/src/core/roster.c
@@ -46,8 +46,8 @@
 static FtRosterRow *
 row_with_room (FtScheduler *s, gsize bytes)
 {
-  gsize most
-      = (gsize) (MIN (s->settings->value_kb * 1024.0, FT_BODY_MOST / FT_ROSTER_ROWS_AT_ONCE) * FT_ROSTER_ROW_SHARE);
+  double largest = MIN (s->settings->value_kb * 1024.0, (double) FT_BODY_MOST / FT_ROSTER_ROWS_AT_ONCE);
+  gsize most = (gsize) (largest * FT_ROSTER_ROW_SHARE);
   if (s->open_row == NULL || s->open_row->bytes + bytes > most) {
     /* The token makes the name unique: no row of an earlier leadership has it. */
     g_autofree char *id = g_strdup_printf ("%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, s->token, s->next_row++);
--- a/src/net/leader.c
+++ b/src/net/leader.c
@@ -189,7 +189,7 @@
     try_again (call, load_page);
     return;
   }
-  g_autoptr (Call) owned = call;
+  G_GNUC_UNUSED g_autoptr (Call) owned = call;
   if (strcmp (call->prefix, FT_PREFIX_OPEN) == 0 && call->text == NULL)
     ft_store_revision (body, &node->watch_since); /* changes since the first page come by the watch */
   for (guint i = 0; i < rows->len; i++)
@@ -285,7 +285,7 @@
     try_again (call, read_journal);
     return;
   }
-  g_autoptr (Call) owned = call;
+  G_GNUC_UNUSED g_autoptr (Call) owned = call;
   if ((guint64) json_integer_value (json_object_get (row.value, "token")) != ft_lease_token (node->lease)) {
     ft_node_step_down (node, "the journal is another leader's");
     return;
--- a/src/net/node.c
+++ b/src/net/node.c
@@ -277,7 +277,7 @@
 {
   FtNode *node = data;
   gint64 now = g_get_monotonic_time ();
-  gint64 late = node->last_tick > 0 ? now - node->last_tick - FT_TICK_MS * 1000 : 0;
+  gint64 late = node->last_tick > 0 ? now - node->last_tick - FT_TICK_MS * 1000LL : 0;
   node->last_tick = now;
   if (late > (gint64) (FT_LATE_TICK_S * FT_SECOND)) {
     node->on_time_since = now;
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -64,7 +64,7 @@
 
   FtMetrics *metrics;
   gint64 malformed_logged[FT_COUNTERS]; /* when a malformed message of that source was logged last */
-  FtTuning tuning; /* operators' settings in force, and their version */
+  FtTuning tuning;                      /* operators' settings in force, and their version */
   guint64 settings_version;
   gint64 next_settings;
   gboolean settings_in_flight;
--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -85,6 +85,7 @@
       || !ft_field_count (body, "pieces", 1, FT_JOB_TASKS_MOST, &tasks)
       || !ft_field_bool (body, "one_zone", &spec->one_zone) || !ft_field_bool (body, "apart", &spec->spread)
       || !ft_field_bool (body, "loaners", &spec->spot))
+    // NOLINTNEXTLINE(clang-analyzer-unix.Malloc): freed by g_auto cleanup, which the analyzer does not follow
     return NULL;
   spec->tasks = (guint) tasks;
   return g_steal_pointer (&spec);
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -337,7 +337,7 @@
   std::set<std::string> failing;  // machines on which every task fails
   std::set<std::string> mistaken; // jobs whose tasks fail at once on every machine
   guint failures = 0;             // tasks that have failed
-  guint machine_count = 0;       // ever rented
+  guint machine_count = 0;        // ever rented
   guint alive_machines () const;
 
   // A new leader has begun: copies of old reports reach every controller at that moment.
