The sight of the store may be two watches old before nothing is given up

Cause, by reading: a watch tells what was known when it was sent, so on a quiet site the sight is up to four seconds old, and the bound of 3 s put off giving up silent machines half of the time. Now two watches and a half second.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -131,8 +131,9 @@
 /* Seconds between two rentals in an unreachable zone, which show whether it is back. */
 #define FT_ZONE_PROBE_EVERY_S 20.0
 /* Seconds since the store was last seen after which a leader gives up no machine for its
- * silence: it may be cut off itself. A watch is renewed every two seconds. */
-#define FT_GIVE_UP_SIGHT_S 3.0
+ * silence: it may be cut off itself. A watch tells, when it ends, what was known when it was
+ * sent: on a quiet site the sight is two watches old before the next one ends. */
+#define FT_GIVE_UP_SIGHT_S (2 * FT_WATCH_S + 0.5)
 /* Failures in a row that count against a machine, to shun it: one may be chance. */
 #define FT_FAULTS 2
 /* Machines on which a job must have failed, and done well on none, to count as mistaken. */
