--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -134,6 +134,9 @@
  * silence: it may be cut off itself. A watch tells, when it ends, what was known when it was
  * sent: on a quiet site the sight is two watches old before the next one ends. */
 #define FT_GIVE_UP_SIGHT_S (2 * FT_WATCH_S + 0.5)
+/* Seconds by which the store must have been seen after a zone was heard last, for the zone
+ * to be given up: what cut off the zone has not cut off this leader as well. */
+#define FT_ZONE_SIGHT_S 1.0
 /* Failures in a row that count against a machine, to shun it: one may be chance. */
 #define FT_FAULTS 2
 /* Machines on which a job must have failed, and done well on none, to count as mistaken. */
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -327,6 +327,14 @@
   return machine->state == FT_MACHINE_BOOTING && s->now - machine->rented_at > limit;
 }
 
+/* The store has been seen since the zone was heard last: it is the zone that is cut off. */
+static gboolean
+zone_alone_lost (const FtScheduler *s, const FtZone *zone)
+{
+  gint64 silent_since = MAX (zone->last_heard, s->loaded_at);
+  return s->known_until > silent_since + (gint64) (FT_ZONE_SIGHT_S * FT_SECOND);
+}
+
 /* A controller that is itself cut off must not return a healthy fleet: silence
  * counts against a machine only while the store and most others are heard, and only
  * a few machines are given up within a window, unless their whole zone is
@@ -344,7 +352,9 @@
     return FALSE;
   if (lost > up && s->now - ft_machine_unreported_since (s, machine) <= long_silent)
     return FALSE;
-  return machine->zone_view->unreachable || s->silent_returned < most;
+  if (machine->zone_view->unreachable)
+    return zone_alone_lost (s, machine->zone_view);
+  return s->silent_returned < most;
 }
 
 static gboolean
