--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -337,6 +337,9 @@
 #define FT_POLLS_MOST 4096
 /* Conditions that a transaction may have for each change it may have (protocol). */
 #define FT_CONDITIONS_PER_CHANGE 4
+/* Seconds between two log lines on malformed messages of the same source: one broken worker
+ * must not fill the log. */
+#define FT_MALFORMED_LOG_S 10.0
 /* Open jobs in one heartbeat: its body stays well within the largest. */
 #define FT_MESH_JOBS_MOST 1000
 /* Final states kept in memory. */
--- a/src/net/leader.c
+++ b/src/net/leader.c
@@ -181,6 +181,8 @@
   }
   g_autoptr (GArray) rows = status == 200 ? ft_store_rows (body, &more) : NULL;
   if (rows == NULL) {
+    if (status == 200)
+      ft_node_malformed (node, FT_COUNT_MALFORMED_STATE, "list of rows");
     try_again (call, load_page);
     return;
   }
@@ -228,6 +230,8 @@
   }
   g_autoptr (GArray) rows = status == 200 ? ft_store_events (body) : NULL;
   if (rows == NULL || !ft_store_revision (body, &node->watch_since)) {
+    if (status == 200)
+      ft_node_malformed (node, FT_COUNT_MALFORMED_STATE, "list of events");
     node->next_watch = soon (node);
     return;
   }
@@ -413,6 +417,8 @@
   FtDirectResult result = status == 200 && report != NULL   ? FT_DIRECT_OK
                           : status == 409 && report != NULL ? FT_DIRECT_CONFLICT
                                                             : FT_DIRECT_UNANSWERED;
+  if (report == NULL && (status == 200 || status == 409))
+    ft_node_malformed (node, FT_COUNT_MALFORMED_WORKERS, "answer to a command");
   if (result == FT_DIRECT_UNANSWERED)
     ft_metrics_count (node->metrics, FT_COUNT_DIRECT_UNANSWERED);
   else
@@ -457,6 +463,8 @@
   else if (status == 400
            || (status == 503 && g_strcmp0 (json_string_value (json_object_get (body, "error")), "no capacity") == 0))
     result = FT_CLOUD_REFUSED;
+  if (status == 200 && result == FT_CLOUD_FAILED)
+    ft_node_malformed (node, FT_COUNT_MALFORMED_CLOUD, "answer to a rental");
   ft_scheduler_cloud_done (node->scheduler, call->cloud, result, g_get_monotonic_time ());
   ft_node_pump (node);
 }
@@ -491,8 +499,12 @@
   if (stale (call))
     return;
   node->list_in_flight = FALSE;
-  if (status != 200 || !ft_cloud_list (body, call->list, &more))
+  if (status != 200)
     return;
+  if (!ft_cloud_list (body, call->list, &more)) {
+    ft_node_malformed (node, FT_COUNT_MALFORMED_CLOUD, "list of machines");
+    return;
+  }
   if (more && call->list->len > 0) {
     list_machines (node, g_array_ref (call->list));
     return;
--- a/src/net/mesh.c
+++ b/src/net/mesh.c
@@ -5,7 +5,7 @@
 
 #include "core/constants.h"
 #include "net/node.h"
-#include "wire/fields.h"
+#include "wire/heartbeat.h"
 
 typedef struct {
   FtNode *node;
@@ -54,10 +54,11 @@
   (void) state;
   (void) tasks;
   (void) waits_for;
+  FtHeartbeat *beat = data;
   /* For display only: what is left out shows as queued. A body beyond the limit
    * would be refused whole. */
-  if ((done > 0 || running > 0) && json_object_size (data) < FT_MESH_JOBS_MOST)
-    json_object_set_new (data, ref, json_pack ("[i, i]", (int) done, (int) running));
+  if ((done > 0 || running > 0) && beat->jobs->len < FT_MESH_JOBS_MOST)
+    ft_heartbeat_add_job (beat, ref, done, running);
 }
 
 /* ---- withdrawals: hints, on which no rule rests ---- */
@@ -100,34 +101,27 @@
 }
 
 static void
-add_withdrawn (FtNode *node, json_t *body, gint64 now)
+add_withdrawals (FtNode *node, FtHeartbeat *beat, gint64 now)
 {
   ft_mesh_forget_withdrawn (node, now - (gint64) (FT_MESH_WITHDRAWN_S * FT_SECOND));
-  if (g_queue_is_empty (&node->withdrawn))
-    return;
-  json_t *refs = json_array ();
-  for (GList *l = node->withdrawn.tail; l != NULL && json_array_size (refs) < FT_MESH_WITHDRAWN_MOST; l = l->prev)
-    json_array_append_new (refs, json_string (((Withdrawn *) l->data)->ref));
-  json_object_set_new (body, "withdrawn", refs);
+  for (GList *l = node->withdrawn.tail; l != NULL && beat->withdrawals->len < FT_MESH_WITHDRAWN_MOST; l = l->prev)
+    g_ptr_array_add (beat->withdrawals, g_strdup (((Withdrawn *) l->data)->ref));
 }
 
-static json_t *
-beat_body (FtNode *node, gint64 now)
+static FtHeartbeat *
+next_heartbeat (FtNode *node, gint64 now)
 {
   gint64 served = ft_state_last_served (node->state);
-  json_t *body = json_pack ("{s:s}", "member", node->config->member);
-  if (served > 0)
-    json_object_set_new (body, "served_ms_ago", json_integer ((now - served) / 1000));
-  if (node->yielded_at > 0 && now - node->yielded_at < (gint64) (FT_YIELD_TOLD_S * FT_SECOND))
-    json_object_set_new (body, "yields", json_true ());
-  add_withdrawn (node, body, now);
+  FtHeartbeat *beat = ft_heartbeat_new (node->config->member);
+  beat->served = served > 0;
+  beat->served_ms_ago = beat->served ? (guint64) (now - served) / 1000 : 0;
+  beat->yields = node->yielded_at > 0 && now - node->yielded_at < (gint64) (FT_YIELD_TOLD_S * FT_SECOND);
+  add_withdrawals (node, beat, now);
   if (node->scheduler == NULL)
-    return body;
-  json_t *jobs = json_object ();
-  ft_scheduler_each_job (node->scheduler, add_job, jobs);
-  json_object_set_new (body, "token", json_integer ((json_int_t) ft_lease_token (node->lease)));
-  json_object_set_new (body, "jobs", jobs);
-  return body;
+    return beat;
+  beat->token = ft_lease_token (node->lease);
+  ft_scheduler_each_job (node->scheduler, add_job, beat);
+  return beat;
 }
 
 void
@@ -136,7 +130,8 @@
   if (now < node->next_mesh)
     return;
   node->next_mesh = now + (gint64) (FT_MESH_EVERY_S * FT_SECOND);
-  json_t *body = beat_body (node, now);
+  g_autoptr (FtHeartbeat) heartbeat = next_heartbeat (node, now);
+  json_t *body = ft_heartbeat_body (heartbeat);
   for (guint i = 0; i < node->peers->len; i++) {
     FtPeerView *view = &g_array_index (node->peers, FtPeerView, i);
     if (view->in_flight)
@@ -153,37 +148,29 @@
 }
 
 static void
-take_summary (FtNode *node, const char *member, guint64 token, const json_t *jobs)
+take_summary (FtNode *node, const FtHeartbeat *beat)
 {
-  const char *ref;
-  json_t *item;
-  if (token < node->mesh_token)
+  if (beat->token < node->mesh_token)
     return;
-  node->mesh_token = token;
+  node->mesh_token = beat->token;
   g_free (node->mesh_leader);
-  node->mesh_leader = g_strdup (member);
+  node->mesh_leader = g_strdup (beat->member);
   g_hash_table_remove_all (node->mesh_jobs);
-  json_object_foreach ((json_t *) jobs, ref, item)
-  {
+  for (guint i = 0; i < beat->jobs->len; i++) {
+    const FtHeartbeatJob *job = &g_array_index (beat->jobs, FtHeartbeatJob, i);
     FtJobView *view = g_new0 (FtJobView, 1);
-    view->done = (guint) json_integer_value (json_array_get (item, 0));
-    view->running = (guint) json_integer_value (json_array_get (item, 1));
-    g_hash_table_insert (node->mesh_jobs, g_strdup (ref), view);
+    view->done = job->done;
+    view->running = job->running;
+    g_hash_table_insert (node->mesh_jobs, g_strdup (job->ref), view);
   }
 }
 
 static void
-take_withdrawn (FtNode *node, const json_t *refs)
+take_withdrawals (FtNode *node, const GPtrArray *refs)
 {
-  size_t i;
-  json_t *item;
-  json_array_foreach ((json_t *) refs, i, item)
-  {
-    const char *ref = json_string_value (item);
-    if (ref != NULL && i < FT_MESH_WITHDRAWN_MOST)
-      hear_withdrawn (node, ref);
-  }
-  if (json_array_size (refs) > 0)
+  for (guint i = 0; i < refs->len; i++)
+    hear_withdrawn (node, g_ptr_array_index (refs, i));
+  if (refs->len > 0)
     ft_node_pump (node);
 }
 
@@ -195,31 +182,38 @@
     ft_node_step_down (node, "a peer leads under a higher token");
 }
 
-static void
-handle_beat (FtNode *node, FtHttpRequest *request)
+static FtPeerView *
+find_peer (FtNode *node, const char *member)
 {
-  const json_t *body = ft_http_body (request);
-  const char *member = json_string_value (json_object_get (body, "member"));
-  guint64 token;
-  for (guint i = 0; member != NULL && i < node->peers->len; i++) {
+  for (guint i = 0; i < node->peers->len; i++) {
     FtPeerView *view = &g_array_index (node->peers, FtPeerView, i);
-    if (strcmp (view->peer->member, member) != 0)
-      continue;
-    view->heard_at = g_get_monotonic_time ();
-    guint64 age_ms;
-    if (ft_field_count (body, "served_ms_ago", 0, G_MAXINT32, &age_ms))
-      view->served_at = view->heard_at - (gint64) age_ms * 1000;
-    if (ft_field_count (body, "token", 1, G_MAXINT32, &token)) {
-      take_summary (node, member, token, json_object_get (body, "jobs"));
-      check_succeeded (node, token);
-    }
-    take_withdrawn (node, json_object_get (body, "withdrawn"));
-    if (json_is_true (json_object_get (body, "yields")))
-      ft_lease_suspect (node->lease, member, TRUE, view->heard_at);
-    ft_http_respond (request, 200, json_object ());
+    if (strcmp (view->peer->member, member) == 0)
+      return view;
+  }
+  return NULL;
+}
+
+static void
+handle_heartbeat (FtNode *node, FtHttpRequest *request)
+{
+  g_autoptr (FtHeartbeat) beat = ft_heartbeat_parse (ft_http_body (request));
+  FtPeerView *view = beat != NULL ? find_peer (node, beat->member) : NULL;
+  if (view == NULL) {
+    ft_node_malformed (node, FT_COUNT_MALFORMED_PEERS, "heartbeat");
+    ft_http_respond (request, 400, NULL);
     return;
   }
-  ft_http_respond (request, 400, NULL);
+  view->heard_at = g_get_monotonic_time ();
+  if (beat->served)
+    view->served_at = view->heard_at - (gint64) beat->served_ms_ago * 1000;
+  if (beat->token > 0) {
+    take_summary (node, beat);
+    check_succeeded (node, beat->token);
+  }
+  take_withdrawals (node, beat->withdrawals);
+  if (beat->yields)
+    ft_lease_suspect (node->lease, beat->member, TRUE, view->heard_at);
+  ft_http_respond (request, 200, json_object ());
 }
 
 void
@@ -227,7 +221,7 @@
 {
   const char *path = ft_http_path (request);
   if (strcmp (path, "/mesh/beat") == 0 && strcmp (ft_http_method (request), "POST") == 0)
-    handle_beat (data, request);
+    handle_heartbeat (data, request);
   else if (g_str_has_prefix (path, "/admin/"))
     ft_admin_handle (data, request);
   else
--- a/src/net/metrics.c
+++ b/src/net/metrics.c
@@ -8,7 +8,8 @@
 static const char *const counter_names[FT_COUNTERS]
     = { "submissions_accepted", "submissions_refused", "users_told_unavailable", "polls",
         "withdrawals",          "reports_answered",    "reports_redirected",     "takeovers",
-        "step_downs",           "direct_unanswered",   "batches_committed",      "batches_uncertain" };
+        "step_downs",           "direct_unanswered",   "batches_committed",      "batches_uncertain",
+        "malformed_workers",    "malformed_cloud",     "malformed_state",        "malformed_peers" };
 static const char *const timer_names[FT_TIMERS] = { "submit_ms", "batch_ms", "direct_ms", "recovery_ms" };
 
 struct _FtMetrics {
@@ -54,6 +55,18 @@
   metrics->counters[counter]++;
 }
 
+guint64
+ft_metrics_value (const FtMetrics *metrics, FtCounter counter)
+{
+  return metrics->counters[counter];
+}
+
+const char *
+ft_metrics_name (FtCounter counter)
+{
+  return counter_names[counter];
+}
+
 void
 ft_metrics_time (FtMetrics *metrics, FtTimer timer, gint64 us)
 {
--- a/src/net/metrics.h
+++ b/src/net/metrics.h
@@ -18,6 +18,10 @@
   FT_COUNT_DIRECT_UNANSWERED,
   FT_COUNT_BATCHES,
   FT_COUNT_BATCHES_UNCERTAIN,
+  FT_COUNT_MALFORMED_WORKERS, /* messages that were refused; see ft_node_malformed() */
+  FT_COUNT_MALFORMED_CLOUD,
+  FT_COUNT_MALFORMED_STATE,
+  FT_COUNT_MALFORMED_PEERS,
   FT_COUNTERS,
 } FtCounter;
 
@@ -26,5 +30,8 @@
 FtMetrics *ft_metrics_new (void);
 void ft_metrics_free (FtMetrics *metrics);
 void ft_metrics_count (FtMetrics *metrics, FtCounter counter);
+guint64 ft_metrics_value (const FtMetrics *metrics, FtCounter counter);
+/* As operators see it. */
+const char *ft_metrics_name (FtCounter counter);
 void ft_metrics_time (FtMetrics *metrics, FtTimer timer, gint64 us);
 json_t *ft_metrics_body (const FtMetrics *metrics);
--- a/src/net/node.c
+++ b/src/net/node.c
@@ -46,6 +46,19 @@
   return call;
 }
 
+void
+ft_node_malformed (FtNode *node, FtCounter source, const char *what)
+{
+  gint64 now = g_get_monotonic_time ();
+  ft_metrics_count (node->metrics, source);
+  gint64 last = node->malformed_logged[source];
+  if (last > 0 && now - last < (gint64) (FT_MALFORMED_LOG_S * FT_SECOND))
+    return;
+  node->malformed_logged[source] = now;
+  g_warning ("node %s: a malformed %s was refused (%s: %" G_GUINT64_FORMAT ")", node->config->member, what,
+             ft_metrics_name (source), ft_metrics_value (node->metrics, source));
+}
+
 static void
 on_sweep (guint status, const json_t *body, gpointer data)
 {
@@ -60,6 +73,8 @@
     ft_lease_observe (node->lease, now, &seen);
   else
     ft_lease_blind (node->lease, now);
+  if (status == 200 && rows == NULL)
+    ft_node_malformed (node, FT_COUNT_MALFORMED_STATE, "list of rows");
   ft_lease_rows_clear (&seen);
 }
 
@@ -237,6 +252,8 @@
   FtCatalog *catalog = status == 200 ? ft_cloud_catalog (body) : NULL;
   node->catalog_in_flight = FALSE;
   node->next_catalog = g_get_monotonic_time () + (gint64) ((catalog != NULL ? FT_CATALOG_EVERY_S : 1) * FT_SECOND);
+  if (status == 200 && catalog == NULL)
+    ft_node_malformed (node, FT_COUNT_MALFORMED_CLOUD, "catalog");
   if (catalog == NULL)
     return;
   ft_catalog_unref (node->catalog);
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -62,6 +62,7 @@
   GQueue withdrawn;      /* what we have committed of late, for the peers: owned by mesh.c */
 
   FtMetrics *metrics;
+  gint64 malformed_logged[FT_COUNTERS]; /* when a malformed message of that source was logged last */
   FtTuning tuning; /* operators' settings in force, and their version */
   guint64 settings_version;
   gint64 next_settings;
@@ -83,6 +84,9 @@
 gboolean ft_node_alone_unserved (const FtNode *node, gint64 now);
 /* We are leader no more. */
 void ft_node_step_down (FtNode *node, const char *why);
+/* A message of a worker, the cloud, the state service or a peer was refused as a whole,
+ * and has changed nothing: counted, and logged now and then. */
+void ft_node_malformed (FtNode *node, FtCounter source, const char *what);
 /* Who leads, as far as this node knows; borrowed, or NULL. */
 const char *ft_node_leader (const FtNode *node);
 
--- a/src/net/worker_endpoint.c
+++ b/src/net/worker_endpoint.c
@@ -35,6 +35,7 @@
   const guint8 *body = ft_http_raw (request, &size);
   g_autoptr (FtReport) report = body != NULL ? ft_message_report_read (body, size) : NULL;
   if (report == NULL) {
+    ft_node_malformed (node, FT_COUNT_MALFORMED_WORKERS, "report");
     ft_http_respond (request, 400, NULL);
     return;
   }
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -325,6 +325,8 @@
   next_report_ = world_.now + (Time) (world_.settings.report_s * world_.uniform (0.75, 1.25) * kSecond);
   std::shared_ptr<FtReport> r (report (), ft_report_free);
   Time sent = world_.now;
+  if (world_.keep_reports)
+    world_.kept_[name] = r;
   auto done = std::make_shared<bool> (false);
   auto self = world_.machines[name];
   std::string node = "node-" + std::to_string (node_);
@@ -460,6 +462,21 @@
   events_.push ({ std::max (when, now), order_++, std::move (what) });
 }
 
+void
+World::deliver_kept_reports ()
+{
+  auto reports = std::move (kept_);
+  kept_.clear ();
+  for (auto &[name, report] : reports)
+    for (auto &node : nodes) {
+      std::shared_ptr<FtReport> copy = report;
+      after ((Time) (uniform (0, 0.3) * kSecond), [this, node = node.get (), copy] {
+        if (node->alive)
+          kept_reports += node->report (copy.get ()).status == 200;
+      });
+    }
+}
+
 guint
 World::alive_machines () const
 {
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -306,9 +306,17 @@
   std::function<void (Node &)> on_takeover; // it has claimed, and has read nothing yet
   double late_writes = 0;                   // share of transactions without answer, applied 2 to 12 s later
   guint late_applied = 0;                   // of them, those that were applied
+  double lost_answers = 0;                  // share of transactions that are carried out and not answered
+  guint answers_lost = 0;                   // of them, those that changed something
+  double late_rentals = 0;                  // share of rentals and returns that are carried out 5 to 40 s late
+  guint rented_late = 0;                    // machines rented so
+  bool keep_reports = false;                // the newest report of each worker is kept for the next leader
+  guint kept_reports = 0;                   // of them, those that came to a new leader from an earlier term
+  double boot_least = 2, boot_most = 12;    // seconds until a machine is up
   double slow_store = 0;                    // share of the state service's answers that take up to 3 s
   double late_directs = 0;                  // share of direct commands that arrive 2 to 20 s late
   guint late_executed = 0;                  // of them, those that a worker executed
+  guint late_refused = 0;                   // of them, those that a worker refused for their token
   guint starts_on_mute = 0;                 // starts on machines that were mute for three leases: one, and a takeover
   guint reports_after_takeover = 0;         // reports sent to a former leader that reached a newer one
   bool hints = true;                        // controllers tell each other of withdrawals
@@ -332,7 +340,12 @@
   guint machine_count = 0;       // ever rented
   guint alive_machines () const;
 
+  // A new leader has begun: copies of old reports reach every controller at that moment.
+  void deliver_kept_reports ();
+
 private:
+  friend class Worker;
+  std::map<std::string, std::shared_ptr<FtReport> > kept_; // machine -> its newest report
   void tell (const std::string &ref);
   bool could_run (const std::string &ref, const Checker::Job &job) const;
   struct Event {
--- a/tests/test_fuzz.cpp
+++ b/tests/test_fuzz.cpp
@@ -10,6 +10,7 @@
 #include "config.h"
 #include "wire/cbor.h"
 #include "wire/cloud.h"
+#include "wire/heartbeat.h"
 #include "wire/messages.h"
 #include "wire/store.h"
 }
@@ -112,6 +113,18 @@
     read_rows (rows);
 }
 
+void
+fuzz_heartbeat (const json_t *body)
+{
+  g_autoptr (FtHeartbeat) beat = ft_heartbeat_parse (body);
+  if (beat == nullptr)
+    return;
+  json_t *again = ft_heartbeat_body (beat);
+  g_autoptr (FtHeartbeat) same = ft_heartbeat_parse (again);
+  EXPECT_NE (same, nullptr) << "what was read can be sent";
+  json_decref (again);
+}
+
 std::string
 read_corpus (const char *name)
 {
@@ -261,6 +274,7 @@
 TEST (Fuzz, Machines) { run ("machines", fuzz_machines); }
 TEST (Fuzz, Rows) { run ("rows", fuzz_rows); }
 TEST (Fuzz, Events) { run ("events", fuzz_events); }
+TEST (Fuzz, Heartbeat) { run ("heartbeat", fuzz_heartbeat); }
 
 TEST (Fuzz, Settings)
 {
--- a/tests/test_meetings.cpp
+++ b/tests/test_meetings.cpp
@@ -545,6 +545,137 @@
     EXPECT_LE (job.last_start_cancelled, 2 * kSecond) << ref;
 }
 
+// Other nodes read what was written long before its writer learns of it.
+TEST_P (Meeting, TransactionsAreCarriedOutAndOnlyTheirAnswersAreLost)
+{
+  world.at (10 * kSecond, [&] { world.lost_answers = 0.25; });
+  world.at (150 * kSecond, [&] { world.lost_answers = 0; });
+  day.load ();
+  day.load_long (8, 3, 40);
+  for (const std::string &ref : day.refs)
+    for (Time t = 10 * kSecond; t < 150 * kSecond; t += 2 * kSecond)
+      world.at (t, [&, ref] { world.poll (ref); });
+  for (int i = 0; i < 4; i++) {
+    day.crash (about (30, 130), world.below (3));
+    day.cancel_running (about (30, 130), 2);
+  }
+  day.finish ();
+  EXPECT_GT (world.answers_lost, 10u) << "no answer was lost";
+}
+
+TEST_P (Meeting, AnOldReportReachesEveryControllerJustAsANewLeaderBegins)
+{
+  world.keep_reports = true;
+  day.load ();
+  day.load_long (8, 3, 40);
+  for (int i = 0; i < 6; i++) {
+    Time when = (30 + 18 * i) * kSecond;
+    world.at (when, [&] {
+      if (day.leader () != nullptr)
+        day.leader ()->crash (about (0.1, 6));
+    });
+    day.cancel_running (when + about (-1, 1), 1);
+    day.reboot (when + about (-3, 0)); // its kept report is of an earlier session
+  }
+  day.finish ();
+  EXPECT_GT (world.kept_reports, 0u) << "no kept report reached a leader";
+}
+
+TEST_P (Meeting, CommandsOfADeposedLeaderArriveAfterTheNewOnes)
+{
+  world.late_directs = 0.5;
+  day.load_long (10, 3, 40);
+  day.load ();
+  for (int i = 0; i < 8; i++) {
+    Time when = (25 + 14 * i) * kSecond;
+    world.at (when, [&] {
+      Node *leader = day.leader ();
+      if (leader == nullptr)
+        return;
+      if (world.chance (0.5))
+        leader->crash (about (0.1, 4));
+      else
+        leader->refused_until = world.now + about (8, 20);
+    });
+    day.cancel_running (when + about (0, 3), 1);
+  }
+  day.finish ();
+  EXPECT_GT (world.late_refused, 0u) << "no command of a former leader came after a newer one's";
+}
+
+TEST_P (Meeting, OneTaskJobsComeFourASecondAndAQuarterIsCancelled)
+{
+  for (int i = 0; i < 480; i++) {
+    std::string ref = "req-6" + std::to_string (i);
+    Time when = (Time) ((5 + i * 0.25) * kSecond);
+    world.at (when, [&, ref] { world.submit (ref, 1, 1, 4, world.chance (0.6) ? "red" : "blue", false, false, true); });
+    if (i % 4 == 0) {
+      day.cancelled.push_back (ref);
+      world.at (when + about (0.05, 6), [&, ref] { world.withdraw (ref); });
+    }
+    for (Time t = when + 2 * kSecond; t < day.length; t += 20 * kSecond)
+      world.at (t, [&, ref] { world.poll (ref); });
+  }
+  for (int i = 0; i < 3; i++)
+    day.crash (about (20, 120), world.below (3));
+  day.finish ();
+  guint cancelled = 0;
+  for (const std::string &ref : day.cancelled)
+    cancelled += world.checker->jobs ().at (ref).final_told == "cancelled";
+  EXPECT_GT (cancelled, 20u);
+}
+
+TEST_P (Meeting, NewMachinesGetWorkAtOnceWhileWritesLagAndTheLeaderEnds)
+{
+  guint young = 0;
+  world.boot_least = 0.2;
+  world.boot_most = 1.8;
+  world.slow_store = 0.4;
+  day.load_long (6, 3, 30);
+  for (int i = 0; i < 5; i++) {
+    Time when = (20 + 20 * i) * kSecond;
+    // A fresh need for machines; the leader ends as soon as the first of them is rented.
+    world.at (when, [&, i] {
+      for (int n = 0; n < 3; n++) {
+        std::string ref = "req-5" + std::to_string (10 * i + n);
+        day.refs.push_back (ref);
+        world.submit (ref, 4, 4, 15, n % 2 ? "red" : "blue", false, false, true);
+        for (Time t = world.now + 5 * kSecond; t < day.length; t += 7 * kSecond)
+          world.at (t, [&, ref] { world.poll (ref); });
+      }
+    });
+    guint *before = new guint (0);
+    world.at (when, [&world = world, before] { *before = world.machine_count; });
+    world.at (when + about (1.5, 4), [&, before] {
+      young += world.machine_count > *before;
+      delete before;
+      if (day.leader () != nullptr)
+        day.leader ()->crash (about (0.1, 3));
+    });
+  }
+  world.at (150 * kSecond, [&] { world.slow_store = 0; });
+  day.finish ();
+  EXPECT_GT (young, 0u) << "no leader ended with new machines";
+}
+
+// Requests to the cloud are carried out long after their leader has gone: machines that
+// nobody expects are used or returned, and what a late return takes is placed again.
+TEST_P (Meeting, RentalsAndReturnsOfAnEarlierLeaderAreCarriedOutLate)
+{
+  world.late_rentals = 0.5;
+  day.load ();
+  day.load_long (8, 3, 40);
+  for (int i = 0; i < 5; i++)
+    world.at ((15 + 20 * i) * kSecond, [&] {
+      if (day.leader () != nullptr)
+        day.leader ()->crash (about (0.1, 5));
+    });
+  world.at (150 * kSecond, [&] { world.late_rentals = 0; });
+  day.finish ();
+  EXPECT_GT (world.rented_late, 0u) << "no machine was rented late";
+  EXPECT_LE (world.alive_machines (), 2u) << "machines without work were kept";
+}
+
 INSTANTIATE_TEST_SUITE_P (Seeds, Meeting, testing::Range<guint32> (1, 1 + kSeeds));
 
 } // namespace
--- a/tests/test_program.cpp
+++ b/tests/test_program.cpp
@@ -276,4 +276,117 @@
   ft_http_client_free (users);
 }
 
+// What workers, peers, the cloud and the state service send and the protocol does not know is
+// refused, counted, and changes nothing.
+TEST (Program, MalformedMessagesAreRefusedCountedAndChangeNothing)
+{
+  Services services;
+  Controllers c (services);
+  for (size_t i = 0; i < 3; i++)
+    ASSERT_TRUE (c.ready (i));
+  Machine machine (c.front);
+  size_t leader = c.leader ();
+  ASSERT_LT (leader, 3u);
+  auto counted = [&] (const char *name) {
+    auto metrics = call ("GET", c.mesh[leader], "/admin/metrics", nullptr, FT_BODY_JSON);
+    return json_integer_value (json_object_get (json_object_get (metrics->body, "counters"), name));
+  };
+  ASSERT_EQ (call ("POST", c.front[leader], "/work", job ("req-3", 2))->status, 201u);
+  ASSERT_TRUE (finished (c.front[leader], "req-3", "running"));
+  for (const char *name : { "malformed_workers", "malformed_peers", "malformed_cloud", "malformed_state" })
+    EXPECT_EQ (counted (name), 0) << name;
+
+  json_t *report = machine.report ();
+  json_object_set_new (report, "shift", json_string ("first"));
+  EXPECT_EQ (call ("POST", c.front[leader], "/checkin", report)->status, 400u);
+  EXPECT_EQ (call ("POST", c.front[leader], "/checkin", json_array ())->status, 400u);
+  EXPECT_EQ (counted ("malformed_workers"), 2);
+
+  std::string peer = "hearth-" + std::to_string ((leader + 1) % 3);
+  const std::vector<json_t *> beats = {
+    json_pack ("{s:s, s:i, s:s}", "member", peer.c_str (), "token", 1000, "jobs", "none"),
+    json_pack ("{s:s, s:i}", "member", peer.c_str (), "token", -4),
+    json_pack ("{s:s, s:[i]}", "member", peer.c_str (), "withdrawn", 7),
+    json_pack ("{s:s, s:s}", "member", peer.c_str (), "yields", "yes"),
+    json_pack ("{s:s}", "member", "hearth-9"),
+  };
+  for (json_t *beat : beats)
+    EXPECT_EQ (call ("POST", c.mesh[leader], "/mesh/beat", beat, FT_BODY_JSON)->status, 400u);
+  EXPECT_EQ (counted ("malformed_peers"), (json_int_t) beats.size ());
+
+  services.garbled = true;
+  EXPECT_TRUE (wait_for ([&] { return counted ("malformed_state") > 0 && counted ("malformed_cloud") > 0; }));
+  services.garbled = false;
+  ASSERT_TRUE (finished (c.front[leader], "req-3", "running"));
+  EXPECT_EQ (machine.starts, 2u) << "nothing was started again";
+  EXPECT_EQ (c.leader (), leader) << "the leader went on";
+  EXPECT_EQ (call ("POST", c.front[leader], "/work", job ("req-1", 1))->status, 201u);
+  EXPECT_TRUE (finished (c.front[leader], "req-1", "done"));
+}
+
+// Asks about the job on every node at once, each twice, and repeats its submission on each.
+std::vector<std::unique_ptr<Reply> >
+look_closely (const Controllers &c, const char *ref)
+{
+  std::vector<std::unique_ptr<Reply> > replies;
+  std::string path = std::string ("/work/") + ref;
+  for (int round = 0; round < 2; round++)
+    for (const std::string &addr : c.front) {
+      replies.push_back (std::make_unique<Reply> ());
+      ft_http_send (client (), "GET", addr.c_str (), path.c_str (), FT_BODY_CBOR, nullptr, 5, TRUE, on_reply,
+                    replies.back ().get ());
+    }
+  for (const std::string &addr : c.front) {
+    json_t *again = job (ref, 1);
+    replies.push_back (std::make_unique<Reply> ());
+    ft_http_send (client (), "POST", addr.c_str (), "/work", FT_BODY_CBOR, again, 5, TRUE, on_reply,
+                  replies.back ().get ());
+    json_decref (again);
+  }
+  auto all = [&] { return std::all_of (replies.begin (), replies.end (), [] (const auto &r) { return r->done; }); };
+  EXPECT_TRUE (wait_for (all));
+  return replies;
+}
+
+// Once a user has been told that a job is accepted, done or cancelled, no node says anything
+// older, however soon it is asked: the caches of final states and the polls that share one
+// comparison are in each node, beyond what the stand-in world has.
+TEST (Program, CloseLooksAtEveryNodeSeeNothingOlder)
+{
+  constexpr int kJobs = 24;
+  Services services;
+  Controllers c (services);
+  for (size_t i = 0; i < 3; i++)
+    ASSERT_TRUE (c.ready (i));
+  Machine machine (c.front);
+  ASSERT_LT (c.leader (), 3u);
+  int answered = 0, cancelled = 0, done = 0;
+  for (int k = 0; k < kJobs; k++) {
+    std::string ref = "req-5" + std::to_string (k), path = "/work/" + ref;
+    ASSERT_EQ (call ("POST", c.front[k % 3], "/work", job (ref.c_str (), 1))->status, 201u);
+    for (const auto &r : look_closely (c, ref.c_str ())) {
+      EXPECT_TRUE (r->status == 200 || r->status == 503) << ref << " was accepted, then " << r->status;
+      answered += r->status == 200;
+    }
+    std::string final;
+    if (k % 2 == 0) {
+      auto told = call ("POST", c.front[(k + 1) % 3], path + "/withdraw");
+      final = told->text ("standing");
+      ASSERT_EQ (told->status, 200u);
+      ASSERT_TRUE (final == "withdrawn" || final == "done") << final;
+      cancelled += final == "withdrawn";
+    } else {
+      ASSERT_TRUE (finished (c.front[k % 3], ref.c_str (), "done"));
+      final = "done";
+      done++;
+    }
+    for (const auto &r : look_closely (c, ref.c_str ()))
+      EXPECT_TRUE (r->status == 503 || (r->status == 200 && r->text ("standing") == final))
+          << ref << " was " << final << ", then " << r->status << " " << r->text ("standing");
+  }
+  EXPECT_GT (answered, kJobs) << "hardly any question was answered";
+  EXPECT_GT (cancelled, 0);
+  EXPECT_GT (done, 0);
+}
+
 } // namespace
