--- a/src/config.c
+++ b/src/config.c
@@ -103,6 +103,45 @@
   return TRUE;
 }
 
+/* The limit that holds from now on, and is lowered to that of `next` if it has the field: when
+ * the state service changes to its next limits nobody tells, so what is written fits both. */
+static gboolean
+lower_amount (const json_t *next, const char *name, double least, double *limit, GError **error)
+{
+  double value = *limit;
+  if (!ft_field_is_null (next, name) && !amount (next, "settings.state.next", name, least, &value, error))
+    return FALSE;
+  *limit = MIN (*limit, value);
+  return TRUE;
+}
+
+static gboolean
+lower_whole (const json_t *next, const char *name, guint least, guint *limit, GError **error)
+{
+  guint value = *limit;
+  if (!ft_field_is_null (next, name) && !whole (next, "settings.state.next", name, least, &value, error))
+    return FALSE;
+  *limit = MIN (*limit, value);
+  return TRUE;
+}
+
+static gboolean
+read_state_limits (const json_t *state, FtSettings *s, GError **error)
+{
+  if (!amount (state, "settings.state", "rps", FT_STATE_RPS_LEAST, &s->state_rps, error)
+      || !amount (state, "settings.state", "write_rps", FT_STATE_RPS_LEAST, &s->state_write_rps, error)
+      || !amount (state, "settings.state", "value_kb", FT_VALUE_KB_LEAST, &s->value_kb, error)
+      || !whole (state, "settings.state", "txn_ops", FT_TXN_OPS_LEAST, &s->txn_ops, error))
+    return FALSE;
+  if (ft_field_is_null (state, "next"))
+    return TRUE;
+  const json_t *next = section (state, "settings.state", "next", FALSE, error);
+  return next != NULL && lower_amount (next, "rps", FT_STATE_RPS_LEAST, &s->state_rps, error)
+         && lower_amount (next, "write_rps", FT_STATE_RPS_LEAST, &s->state_write_rps, error)
+         && lower_amount (next, "value_kb", FT_VALUE_KB_LEAST, &s->value_kb, error)
+         && lower_whole (next, "txn_ops", FT_TXN_OPS_LEAST, &s->txn_ops, error);
+}
+
 static gboolean
 read_params (const json_t *root, FtConfig *c, GError **error)
 {
@@ -117,11 +156,7 @@
          && amount (workers, "settings.workers", "report_s", 0.01, &s->report_s, error)
          && amount (workers, "settings.workers", "lease_s", 0.1, &s->lease_s, error)
          && amount (workers, "settings.workers", "cancel_s", 0.1, &s->cancel_s, error)
-         && amount (state, "settings.state", "rps", 1, &s->state_rps, error)
-         && amount (state, "settings.state", "write_rps", 1, &s->state_write_rps, error)
-         && amount (state, "settings.state", "value_kb", 1, &s->value_kb, error)
-         && whole (state, "settings.state", "txn_ops", 4, &s->txn_ops, error)
-         && amount (cloud, "settings.cloud", "rps", 0.01, &s->cloud_rps, error)
+         && read_state_limits (state, s, error) && amount (cloud, "settings.cloud", "rps", 0.01, &s->cloud_rps, error)
          && amount (cloud, "settings.cloud", "list_lag_s", 0, &s->list_lag_s, error)
          && amount (limits, "settings.resources", "cpu_share", 0.0001, &c->cpu_share, error)
          && amount (limits, "settings.resources", "ram_mb", 1, &c->memory_mb, error)
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -262,19 +262,42 @@
 /* Tasks by which a job's mark is raised at least, once some have been sent. */
 #define FT_MARK_STEP 16
 
+/* ---- limits of the state service ---- */
+/* Least limits that the settings may name: changes that an acquisition and the end of a job
+ * need in one transaction, KiB for a job's row with ordinary texts, and requests a second. */
+#define FT_TXN_OPS_LEAST 4
+#define FT_VALUE_KB_LEAST 1
+#define FT_STATE_RPS_LEAST 1
+/* Seconds until a batch that the state service refused as invalid is tried again, smaller. */
+#define FT_BATCH_INVALID_PAUSE_S 1.0
+
+/* ---- jobs that wait for others ---- */
+/* Seconds that a step of a pipeline takes beside its run time: placing, image, report, commit. */
+#define FT_STEP_OVERHEAD_S 4.0
+/* Seconds until the row of a job that others wait for is read again, if it was open and the job
+ * has not come by the watch. */
+#define FT_NEED_READ_EVERY_S 1.0
+/* Share of cancel_s for which a controller tells that a job is open without looking again
+ * whether something that it needs was cancelled. */
+#define FT_LINEAGE_FRESH 0.5
+/* Such readings under way at once. */
+#define FT_NEED_READS_MOST 8
+
 /* ---- roster ---- */
-/* Bytes of a machine's entry in a roster row beside its texts. */
-#define FT_ROSTER_ENTRY_BYTES 64
-/* Share of the largest value that a row may take. */
-#define FT_ROSTER_ROW_SHARE 0.7
+/* Bytes of a machine's entry in a roster row beside its texts, as JSON with spaces. */
+#define FT_ROSTER_ENTRY_BYTES 68
+/* Share of the largest value that a row may take: the rest is for what encloses the entries. */
+#define FT_ROSTER_ROW_SHARE 0.9
 /* Rows in one transaction: together they stay below the largest body. */
 #define FT_ROSTER_ROWS_AT_ONCE 3
 /* Seconds until a removal is written: many go in one change. */
 #define FT_ROSTER_DROP_AFTER_S 1.0
 
 /* ---- jobs ---- */
-/* Least seconds between two writes of a job's done-set. */
+/* Least seconds between two writes of a job's done-set, and share of the state service's
+ * changes that done-sets may take: with many jobs under way each is written less often. */
 #define FT_CHUNK_EVERY_S 3.0
+#define FT_CHUNK_WRITE_SHARE 0.25
 /* Tasks of one job (protocol). */
 #define FT_JOB_TASKS_MOST 100000
 /* Unfinished tasks held in memory before submissions are put off. */
@@ -298,17 +321,25 @@
 #define FT_WATCH_SLACK_S 2.0
 /* Seconds a cloud request may take. */
 #define FT_CLOUD_TIMEOUT_S 5.0
-/* Share of the state limits that a leader and each follower allow themselves. */
+/* Share of the state service's requests that a leader and each follower allow themselves, and
+ * the same for its changes, most of which are the leader's. */
 #define FT_LEADER_SHARE 0.5
 #define FT_FOLLOWER_SHARE 0.22
+#define FT_LEADER_WRITE_SHARE 0.62
+#define FT_FOLLOWER_WRITE_SHARE 0.17
 /* Share of the cloud limit the leader allows itself. */
 #define FT_CLOUD_SHARE 0.8
 /* Requests waiting for the state service before new user requests get 503. */
 #define FT_STATE_QUEUE_MOST 64
+/* Seconds for which a submission may have to wait for the changes before it; beyond that its
+ * user is told at once to come back. */
+#define FT_SUBMIT_WAIT_MOST_S 2.0
 /* Milliseconds until a used-up budget is looked at again. */
 #define FT_BUDGET_WAIT_MS 20
 /* Seconds a user's request may wait for the state service in all. */
 #define FT_USER_DEADLINE_S 3.0
+/* Refs of jobs shown in one field of a list for operators. */
+#define FT_ADMIN_REFS_MOST 8
 /* Seconds between two reads of the operators' settings. */
 #define FT_SETTINGS_EVERY_S 5.0
 /* Seconds flintctl waits for one controller. */
--- /dev/null
+++ b/src/core/dependency.c
@@ -0,0 +1,307 @@
+#include "core/dependency.h"
+
+typedef struct {
+  char *ref;
+  gboolean known;     /* an open job; else only named by others, and to be read */
+  gboolean cancelled; /* something that it needs is */
+  gboolean listed;    /* in `unread` */
+  gint64 read_at;     /* earliest next reading */
+  gint64 met_at;
+  FtUrgency own, urgency;
+  GPtrArray *needs;      /* Node, not settled */
+  GPtrArray *dependents; /* Node */
+} Node;
+
+struct _FtDependencies {
+  GHashTable *nodes; /* ref -> Node, owned */
+  GQueue unread;     /* refs, owned, oldest reading first */
+  FtDependencyChanged changed;
+  gpointer data;
+};
+
+static void
+node_free (Node *node)
+{
+  g_free (node->ref);
+  g_ptr_array_unref (node->needs);
+  g_ptr_array_unref (node->dependents);
+  g_free (node);
+}
+
+FtDependencies *
+ft_dependencies_new (FtDependencyChanged changed, gpointer data)
+{
+  FtDependencies *d = g_new0 (FtDependencies, 1);
+  d->nodes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) node_free);
+  g_queue_init (&d->unread);
+  d->changed = changed;
+  d->data = data;
+  return d;
+}
+
+void
+ft_dependencies_free (FtDependencies *d)
+{
+  if (d == NULL)
+    return;
+  g_hash_table_unref (d->nodes);
+  g_queue_clear_full (&d->unread, g_free);
+  g_free (d);
+}
+
+static Node *
+find (const FtDependencies *d, const char *ref)
+{
+  return g_hash_table_lookup (d->nodes, ref);
+}
+
+static Node *
+find_or_add (FtDependencies *d, const char *ref)
+{
+  Node *node = find (d, ref);
+  if (node != NULL)
+    return node;
+  node = g_new0 (Node, 1);
+  node->ref = g_strdup (ref);
+  node->needs = g_ptr_array_new ();
+  node->dependents = g_ptr_array_new ();
+  g_hash_table_insert (d->nodes, node->ref, node);
+  return node;
+}
+
+/* ---- urgency ---- */
+
+/* The latest time at which the job can start and still be in time; 0: it has no deadline. */
+static gint64
+latest_start (const Node *node)
+{
+  return node->urgency.deadline_at == 0 ? 0 : MAX (1, node->urgency.deadline_at - node->own.length_us);
+}
+
+static FtUrgency
+with_dependents (const Node *node)
+{
+  FtUrgency urgency = node->own;
+  for (guint i = 0; i < node->dependents->len; i++) {
+    const Node *dependent = g_ptr_array_index (node->dependents, i);
+    gint64 by = latest_start (dependent);
+    if (dependent->cancelled)
+      continue;
+    urgency.priority = MAX (urgency.priority, dependent->urgency.priority);
+    if (by > 0 && (urgency.deadline_at == 0 || by < urgency.deadline_at))
+      urgency.deadline_at = by;
+  }
+  return urgency;
+}
+
+/* The urgency of these jobs may have changed, and then that of what they need. Frees the
+ * array. */
+static void
+update_urgencies (FtDependencies *d, GPtrArray *nodes)
+{
+  while (nodes->len > 0) {
+    Node *node = g_ptr_array_steal_index_fast (nodes, nodes->len - 1);
+    FtUrgency urgency = with_dependents (node);
+    if (urgency.priority == node->urgency.priority && urgency.deadline_at == node->urgency.deadline_at)
+      continue;
+    node->urgency = urgency;
+    d->changed (node->ref, d->data);
+    for (guint i = 0; i < node->needs->len; i++)
+      g_ptr_array_add (nodes, g_ptr_array_index (node->needs, i));
+  }
+  g_ptr_array_unref (nodes);
+}
+
+static GPtrArray *
+copy_of (const GPtrArray *nodes)
+{
+  GPtrArray *copy = g_ptr_array_sized_new (nodes->len);
+  for (guint i = 0; i < nodes->len; i++)
+    g_ptr_array_add (copy, g_ptr_array_index (nodes, i));
+  return copy;
+}
+
+/* ---- jobs ---- */
+
+static void
+list_unread (FtDependencies *d, Node *node)
+{
+  if (node->known || node->listed)
+    return;
+  node->listed = TRUE;
+  g_queue_push_head (&d->unread, g_strdup (node->ref)); /* due at once */
+}
+
+static void
+link_needs (FtDependencies *d, Node *node, const char *const *needs)
+{
+  for (guint i = 0; needs != NULL && needs[i] != NULL; i++) {
+    Node *need = find_or_add (d, needs[i]);
+    if (need == node || g_ptr_array_find (node->needs, need, NULL))
+      continue;
+    g_ptr_array_add (node->needs, need);
+    g_ptr_array_add (need->dependents, node);
+    list_unread (d, need);
+  }
+}
+
+/* Marks what needs these jobs as cancelled, however indirectly. Frees the array. */
+static void
+cancel_dependents (FtDependencies *d, GPtrArray *nodes)
+{
+  while (nodes->len > 0) {
+    Node *node = g_ptr_array_steal_index_fast (nodes, nodes->len - 1);
+    for (guint i = 0; i < node->dependents->len; i++) {
+      Node *dependent = g_ptr_array_index (node->dependents, i);
+      if (dependent->cancelled)
+        continue;
+      dependent->cancelled = TRUE;
+      d->changed (dependent->ref, d->data);
+      g_ptr_array_add (nodes, dependent);
+    }
+  }
+  g_ptr_array_unref (nodes);
+}
+
+static void
+cancel_dependents_of (FtDependencies *d, Node *node)
+{
+  GPtrArray *nodes = g_ptr_array_new ();
+  g_ptr_array_add (nodes, node);
+  cancel_dependents (d, nodes);
+}
+
+void
+ft_dependencies_add (FtDependencies *d, const char *ref, const char *const *needs, gboolean cancelled,
+                     const FtUrgency *own)
+{
+  Node *node = find_or_add (d, ref);
+  if (node->known)
+    return;
+  node->known = TRUE;
+  node->own = *own;
+  node->urgency = with_dependents (node);
+  link_needs (d, node, needs);
+  for (guint i = 0; i < node->needs->len; i++)
+    cancelled |= ((const Node *) g_ptr_array_index (node->needs, i))->cancelled;
+  node->cancelled = cancelled;
+  d->changed (node->ref, d->data);
+  if (cancelled)
+    cancel_dependents_of (d, node);
+  update_urgencies (d, copy_of (node->needs));
+}
+
+/* Takes the node out of what it needs; what nobody else needs and nobody knows goes. */
+static void
+unlink_needs (FtDependencies *d, Node *node)
+{
+  GPtrArray *kept = g_ptr_array_new ();
+  for (guint i = 0; i < node->needs->len; i++) {
+    Node *need = g_ptr_array_index (node->needs, i);
+    g_ptr_array_remove_fast (need->dependents, node);
+    if (!need->known && need->dependents->len == 0)
+      g_hash_table_remove (d->nodes, need->ref);
+    else
+      g_ptr_array_add (kept, need);
+  }
+  g_ptr_array_set_size (node->needs, 0);
+  update_urgencies (d, kept);
+}
+
+static void
+meet (FtDependencies *d, Node *node, gint64 at)
+{
+  for (guint i = 0; i < node->dependents->len; i++) {
+    Node *dependent = g_ptr_array_index (node->dependents, i);
+    g_ptr_array_remove_fast (dependent->needs, node);
+    dependent->met_at = MAX (dependent->met_at, at);
+    if (dependent->needs->len == 0)
+      d->changed (dependent->ref, d->data);
+  }
+}
+
+void
+ft_dependencies_settled (FtDependencies *d, const char *ref, FtJobEnd end, gint64 at)
+{
+  Node *node = find (d, ref);
+  if (node == NULL)
+    return;
+  if (end == FT_JOB_END_CANCELLED)
+    cancel_dependents_of (d, node);
+  unlink_needs (d, node);
+  meet (d, node, at); /* those of a cancelled one stay cancelled */
+  g_hash_table_remove (d->nodes, ref);
+}
+
+FtWait
+ft_dependencies_wait (const FtDependencies *d, const char *ref)
+{
+  const Node *node = find (d, ref);
+  if (node == NULL)
+    return FT_WAIT_NONE;
+  if (node->cancelled)
+    return FT_WAIT_CANCELLED;
+  return node->needs->len > 0 ? FT_WAIT_OTHERS : FT_WAIT_NONE;
+}
+
+gint64
+ft_dependencies_met_at (const FtDependencies *d, const char *ref)
+{
+  const Node *node = find (d, ref);
+  return node != NULL ? node->met_at : 0;
+}
+
+const FtUrgency *
+ft_dependencies_urgency (const FtDependencies *d, const char *ref)
+{
+  const Node *node = find (d, ref);
+  return node != NULL ? &node->urgency : NULL;
+}
+
+/* ---- reading ---- */
+
+const char *
+ft_dependencies_next_unread (FtDependencies *d, gint64 now, gint64 retry_us)
+{
+  char *ref;
+  while ((ref = g_queue_peek_head (&d->unread)) != NULL) {
+    Node *node = find (d, ref);
+    if (node != NULL && !node->known && node->read_at > now)
+      return NULL; /* those behind it are due later still */
+    g_queue_pop_head (&d->unread);
+    if (node != NULL && !node->known) {
+      node->read_at = now + retry_us;
+      g_queue_push_tail (&d->unread, ref);
+      return node->ref;
+    }
+    if (node != NULL)
+      node->listed = FALSE;
+    g_free (ref);
+  }
+  return NULL;
+}
+
+/* ---- for operators ---- */
+
+static GStrv
+refs_of (const GPtrArray *nodes)
+{
+  GStrv refs = g_new0 (char *, nodes->len + 1);
+  for (guint i = 0; i < nodes->len; i++)
+    refs[i] = g_strdup (((const Node *) g_ptr_array_index (nodes, i))->ref);
+  return refs;
+}
+
+GStrv
+ft_dependencies_needs (const FtDependencies *d, const char *ref)
+{
+  const Node *node = find (d, ref);
+  return node != NULL ? refs_of (node->needs) : g_new0 (char *, 1);
+}
+
+GStrv
+ft_dependencies_dependents (const FtDependencies *d, const char *ref)
+{
+  const Node *node = find (d, ref);
+  return node != NULL ? refs_of (node->dependents) : g_new0 (char *, 1);
+}
--- a/src/core/explain.c
+++ b/src/core/explain.c
@@ -4,6 +4,10 @@
 static const char *
 why_waiting (const FtScheduler *s, const FtJob *job)
 {
+  if (job->needs_cancelled)
+    return "a job that it needs is cancelled: it is being cancelled";
+  if (job->state == FT_JOB_WAITING)
+    return "jobs that it needs are not done";
   if (job->counts[FT_TASK_UNKNOWN] > 0)
     return "machines are being accounted for after a takeover";
   if (job->counts[FT_TASK_QUEUED] == 0)
@@ -18,14 +22,23 @@
 void
 ft_scheduler_each_job (FtScheduler *s, FtJobVisitor visit, gpointer data)
 {
-  static const char *const states[] = { "open", "withdrawn", "closed" };
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, s->jobs);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     const FtJob *job = value;
-    visit (job->spec->ref, job->spec->job_class, states[job->state], job->spec->tasks, ft_job_finished (job),
-           ft_job_live (job) - job->counts[FT_TASK_STARTING], why_waiting (s, job), data);
+    g_auto (GStrv) needs = ft_dependencies_needs (s->dependencies, job->spec->ref);
+    g_auto (GStrv) dependents = ft_dependencies_dependents (s->dependencies, job->spec->ref);
+    const FtJobInfo info = { .ref = job->spec->ref,
+                             .job_class = job->spec->job_class,
+                             .state = ft_job_state_name (job->state),
+                             .tasks = job->spec->tasks,
+                             .done = ft_job_finished (job),
+                             .running = ft_job_live (job) - job->counts[FT_TASK_STARTING],
+                             .why_waiting = why_waiting (s, job),
+                             .awaits = (const char *const *) needs,
+                             .awaited_by = (const char *const *) dependents };
+    visit (&info, data);
   }
 }
 
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -109,7 +109,7 @@
 waves (const FtScheduler *s, const FtJob *job, const FtMachineType *type)
 {
   const FtJobSpec *spec = job->spec;
-  if (job->deadline_at == 0 || spec->priority >= FT_PRIORITY_HIGH || spec->estimate_s <= 0)
+  if (job->deadline_at == 0 || job->priority >= FT_PRIORITY_HIGH || spec->estimate_s <= 0)
     return 1;
   double left = (double) (job->deadline_at - s->now) / FT_SECOND - spec->estimate_s - type->boot_s;
   return 1 + MAX (0, left) / spec->estimate_s;
@@ -285,7 +285,7 @@
   for (guint i = 0; i < s->order->len; i++) {
     const FtJob *job = g_ptr_array_index (s->order, i);
     if (job->pass_blocked == s->pass && job->spec->spot == need->spot && g_strcmp0 (job->spec->zone, need->zone) == 0
-        && s->now - job->accepted_at > (gint64) (need->type->boot_s * FT_SECOND))
+        && s->now - job->ready_at > (gint64) (need->type->boot_s * FT_SECOND))
       return TRUE;
   }
   return FALSE;
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -7,6 +7,8 @@
   job->spec = spec;
   job->team = team;
   job->stamp = stamp;
+  job->priority = spec->priority;
+  job->state = spec->awaits != NULL ? FT_JOB_WAITING : FT_JOB_OPEN;
   job->tasks = g_new0 (FtTask, spec->tasks);
   for (guint i = 0; i < spec->tasks; i++)
     job->tasks[i].state = initial;
@@ -34,18 +36,25 @@
   g_free (job);
 }
 
+const char *
+ft_job_state_name (FtJobState state)
+{
+  static const char *const names[] = { "waiting", "open", "withdrawn", "closed" };
+  return names[state];
+}
+
 /* The one place where a job's state changes. */
 gboolean
 ft_job_set_state (FtJob *job, FtJobState to)
 {
-  static const char *const names[] = { "open", "withdrawn", "closed" };
   if (job->state == to)
     return TRUE;
-  if (job->state == FT_JOB_CLOSED || to == FT_JOB_OPEN) {
-    g_warning ("job %s: refused move %s -> %s", job->spec->ref, names[job->state], names[to]);
+  /* States are only left for later ones. */
+  if (to < job->state) {
+    g_warning ("job %s: refused move %s -> %s", job->spec->ref, ft_job_state_name (job->state), ft_job_state_name (to));
     return FALSE;
   }
-  g_message ("job %s: %s -> %s", job->spec->ref, names[job->state], names[to]);
+  g_message ("job %s: %s -> %s", job->spec->ref, ft_job_state_name (job->state), ft_job_state_name (to));
   job->state = to;
   ft_job_touch (job);
   return TRUE;
--- a/src/core/journal.c
+++ b/src/core/journal.c
@@ -21,6 +21,8 @@
     return 2 + (write->chunk > 0); /* the row, the index, the first chunk */
   case FT_WRITE_JOB_GONE:
     return 3;
+  case FT_WRITE_JOB_CANCELLED:
+    return 2;
   default:
     return 1;
   }
@@ -53,12 +55,22 @@
   return TRUE;
 }
 
+/* Where a transaction holds few changes the roster takes every other one, so that ends of
+ * jobs and marks do not wait for a growing fleet. */
+static guint
+roster_rows_most (FtScheduler *s, const Batch *batch)
+{
+  gboolean others_turn = s->wrote_roster && batch->left <= FT_ROSTER_ROWS_AT_ONCE && !g_queue_is_empty (&s->touched);
+  return others_turn ? 0 : MIN (batch->left, FT_ROSTER_ROWS_AT_ONCE);
+}
+
 static void
 add_roster (FtScheduler *s, Batch *batch)
 {
   guint before = batch->writes->len;
-  ft_roster_writes (s, batch->writes, MIN (batch->left, FT_ROSTER_ROWS_AT_ONCE));
+  ft_roster_writes (s, batch->writes, roster_rows_most (s, batch));
   batch->left -= batch->writes->len - before;
+  s->wrote_roster = batch->writes->len > before;
   while (batch->left > 0 && !g_queue_is_empty (&s->marks_drop)) {
     g_autofree char *name = g_queue_pop_head (&s->marks_drop);
     batch_add (batch, write_new (FT_WRITE_MARK_DROP, name));
@@ -108,6 +120,14 @@
   job->spec->sent = MAX (job->spec->sent, sent);
 }
 
+/* Jobs that have something to write share what done-sets may take of the state service. */
+static double
+chunk_every_s (const FtScheduler *s)
+{
+  double rate = s->settings->state_write_rps * FT_CHUNK_WRITE_SHARE;
+  return MAX (FT_CHUNK_EVERY_S, rate > 0 ? g_queue_get_length ((GQueue *) &s->touched) / rate : 0);
+}
+
 static void
 add_chunks (FtScheduler *s, FtJob *job, Batch *batch)
 {
@@ -126,19 +146,35 @@
     if (batch_add (batch, write))
       g_hash_table_iter_remove (&it);
   }
-  job->chunk_at = s->now + (gint64) (FT_CHUNK_EVERY_S * FT_SECOND);
+  job->chunk_at = s->now + (gint64) (chunk_every_s (s) * FT_SECOND);
+}
+
+/* Nothing of it was ever placed: what it needs was never all done. */
+static gboolean
+job_cancelled_with_need (const FtJob *job)
+{
+  return job->state == FT_JOB_WAITING && job->needs_cancelled;
 }
 
 static gboolean
 job_ends (const FtJob *job)
 {
-  return !job->final_in_flight && !job->conflicted && (job_complete (job) || job_all_gone (job));
+  return !job->final_in_flight && !job->conflicted
+         && (job_complete (job) || job_all_gone (job) || job_cancelled_with_need (job));
+}
+
+static FtWriteKind
+end_kind (const FtJob *job)
+{
+  if (job_complete (job))
+    return FT_WRITE_JOB_DONE;
+  return job_cancelled_with_need (job) ? FT_WRITE_JOB_CANCELLED : FT_WRITE_JOB_GONE;
 }
 
 static void
 add_end (FtJob *job, Batch *batch)
 {
-  FtWrite *write = write_new (job_complete (job) ? FT_WRITE_JOB_DONE : FT_WRITE_JOB_GONE, job->spec->ref);
+  FtWrite *write = write_new (end_kind (job), job->spec->ref);
   write->stamp = job->stamp;
   write->tasks = job->spec->tasks;
   write->chunk = g_hash_table_size (job->written);
@@ -223,6 +259,18 @@
   }
 }
 
+static void
+end_written (FtScheduler *s, FtJob *job, FtWriteKind kind)
+{
+  gboolean done = kind == FT_WRITE_JOB_DONE;
+  g_message ("job %s: %s committed", job->spec->ref,
+             done                        ? "done"
+             : kind == FT_WRITE_JOB_GONE ? "end of withdrawal"
+                                         : "cancelled with a job that it needs");
+  leave_chunks (s, job, TRUE);
+  ft_job_close (s, job, done ? FT_JOB_END_DONE : FT_JOB_END_CANCELLED);
+}
+
 static void
 write_done (FtScheduler *s, const FtWrite *write)
 {
@@ -241,11 +289,9 @@
     break;
   case FT_WRITE_JOB_DONE:
   case FT_WRITE_JOB_GONE:
-    if (job == NULL)
-      break;
-    g_message ("job %s: %s committed", write->name, write->kind == FT_WRITE_JOB_DONE ? "done" : "end of withdrawal");
-    leave_chunks (s, job, TRUE);
-    ft_job_close (s, job);
+  case FT_WRITE_JOB_CANCELLED:
+    if (job != NULL)
+      end_written (s, job, write->kind);
     break;
   default:
     break;
@@ -293,6 +339,7 @@
   }
   case FT_WRITE_JOB_DONE:
   case FT_WRITE_JOB_GONE:
+  case FT_WRITE_JOB_CANCELLED:
     if (job == NULL)
       break;
     job->final_in_flight = FALSE;
@@ -346,5 +393,5 @@
     return;
   }
   leave_chunks (s, job, FALSE);
-  ft_job_close (s, job);
+  ft_job_close (s, job, FT_JOB_END_DONE);
 }
--- a/src/core/machine.c
+++ b/src/core/machine.c
@@ -291,7 +291,7 @@
   task->attempt = NULL;
   if (task->state == FT_TASK_FINISHED || task->state == FT_TASK_DONE)
     return;
-  ft_task_set_state (job, attempt->index, job->state == FT_JOB_OPEN ? FT_TASK_QUEUED : FT_TASK_DROPPED);
+  ft_task_set_state (job, attempt->index, job->state < FT_JOB_WITHDRAWN ? FT_TASK_QUEUED : FT_TASK_DROPPED);
 }
 
 void
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -2,6 +2,7 @@
  * belongs to one FtScheduler and dies with it, that is with the leadership. */
 #pragma once
 #include "core/constants.h"
+#include "core/dependency.h"
 #include "core/recent_map.h"
 #include "core/scheduler.h"
 #include "core/spot_risk.h"
@@ -36,6 +37,7 @@
 } FtTask;
 
 typedef enum {
+  FT_JOB_WAITING, /* for jobs that it needs: nothing of it is placed, and it counts nowhere */
   FT_JOB_OPEN,
   FT_JOB_WITHDRAWN, /* tasks are being stopped */
   FT_JOB_CLOSED,    /* final state committed; about to be freed */
@@ -58,9 +60,13 @@
   gboolean sent_in_flight;
   gint64 chunk_at; /* earliest next write of a chunk */
   gboolean final_in_flight, conflicted;
-  gint64 accepted_at, deadline_at; /* deadline 0: none */
-  gint64 withdrawn_at;             /* when its withdrawal was committed, for all we know */
-  gboolean withdrawal_read;        /* from its row, not from a hint */
+  gint64 accepted_at;
+  gint64 ready_at;          /* from when it could be placed: accepted, and all that it needs done */
+  gint64 deadline_at;       /* its own, or what those that need it leave it; 0: none */
+  FtPriority priority;      /* its own, or the highest of those that need it */
+  gboolean needs_cancelled; /* a job that it needs is cancelled, and so it will be */
+  gint64 withdrawn_at;      /* when its withdrawal was committed, for all we know */
+  gboolean withdrawal_read; /* from its row, not from a hint */
   gboolean guaranteed, too_late;
   gboolean begun;    /* a task of it has been placed, or was found done or on a machine */
   gboolean overlong; /* it has waited to begin for as long as any may */
@@ -102,12 +108,13 @@
   gint64 last_checkin; /* its last report of its own, not the answer to a command of ours */
   gint64 notice_until; /* 0: none */
   gint64 probe_at;
-  guint probe_fails;  /* direct requests without answer since the last report */
-  gint64 return_at;   /* earliest next try of a return */
-  gboolean counted;   /* among the scheduler's unaccounted ones */
-  gboolean accounted; /* heard under our token, or certainly empty; ft_machine_account() sets it */
-  FtRosterRow *row;   /* the roster row that names it; NULL: none yet */
-  gboolean in_roster; /* that row is committed */
+  guint probe_fails;      /* direct requests without answer since the last report */
+  gint64 return_at;       /* earliest next try of a return */
+  gboolean counted;       /* among the scheduler's unaccounted ones */
+  gboolean accounted;     /* heard under our token, or certainly empty; ft_machine_account() sets it */
+  FtRosterRow *row;       /* the roster row that names it; NULL: none yet */
+  FtRosterRow *split_row; /* a stored row that names it until `row` is stored; NULL: none */
+  gboolean in_roster;     /* that row is committed */
   gboolean direct_queued, probe_queued;
   gboolean drained; /* by an operator */
   gboolean faulty;
@@ -150,6 +157,7 @@
   char *id;
   GPtrArray *machines; /* FtMachine, borrowed */
   gsize bytes;         /* about what its value takes */
+  guint moving;        /* machines that leave it in a split and are not stored in their new row yet */
   gboolean dirty, in_flight, stored;
   gint64 write_at; /* earliest write, for what is not urgent */
 };
@@ -167,14 +175,15 @@
   gboolean loaded, recovered, may_start, dirty;
   gint64 pass;
   FtTeam *teams;
-  GHashTable *jobs;     /* ref -> FtJob, owned */
-  FtRecentMap *closed;  /* refs of jobs whose end this leader has committed or read */
-  GHashTable *machines; /* name -> FtMachine, owned */
-  GHashTable *zones;    /* name -> FtZone, owned */
-  GHashTable *gone;     /* names returned or failed */
-  GHashTable *pools;    /* "type/zone/kind" -> FtPool, owned */
-  GPtrArray *order;     /* open jobs in order of placement, as of the last pass */
-  GPtrArray *waiting;   /* those of them that had tasks to place */
+  GHashTable *jobs;             /* ref -> FtJob, owned */
+  FtRecentMap *closed;          /* jobs whose end this leader has committed or read: ref -> FtJobEnd */
+  FtDependencies *dependencies; /* of the open jobs */
+  GHashTable *machines;         /* name -> FtMachine, owned */
+  GHashTable *zones;            /* name -> FtZone, owned */
+  GHashTable *gone;             /* names returned or failed */
+  GHashTable *pools;            /* "type/zone/kind" -> FtPool, owned */
+  GPtrArray *order;             /* open jobs in order of placement, as of the last pass */
+  GPtrArray *waiting;           /* those of them that had tasks to place */
   gint64 next_pass, next_preempt;
   GPtrArray *victims;  /* scratch of a pass: FtAttempt that may be stopped, youngest first; NULL: not made */
   guint stops_pending; /* with `victims`: stops under way */
@@ -190,6 +199,8 @@
   gint64 known_until;              /* all withdrawals before that time are known */
   GQueue returning;                /* FtMachine to be returned */
   GHashTable *rows;                /* id -> FtRosterRow, owned */
+  guint value_divisor;             /* what refusals have lowered the largest value by */
+  gboolean wrote_roster;           /* the last batch had roster rows in it */
   GQueue dirty_rows;               /* FtRosterRow */
   FtRosterRow *open_row;           /* the one that takes new machines */
   guint64 next_row;
@@ -211,9 +222,11 @@
 gboolean ft_task_set_state (FtJob *job, guint index, FtTaskState to);
 
 /* job.c */
+/* Open, or waiting if it names jobs that it needs; ft_job_set_state() opens it then. */
 FtJob *ft_job_new (FtJobSpec *spec, FtTeam *team, guint64 stamp, FtTaskState initial);
 void ft_job_free (FtJob *job);
 gboolean ft_job_set_state (FtJob *job, FtJobState to);
+const char *ft_job_state_name (FtJobState state);
 guint ft_job_live (const FtJob *job); /* tasks bound to machines */
 guint ft_job_finished (const FtJob *job);
 void ft_job_mark_dirty (FtJob *job, guint index);
@@ -224,7 +237,7 @@
 /* Nothing of the job starts any more, and what runs is stopped; `at`: when its withdrawal was committed. */
 void ft_job_withdraw (FtScheduler *s, FtJob *job, gint64 at);
 /* Its end is in the store: frees the job; what is left of it on machines is stopped. */
-void ft_job_close (FtScheduler *s, FtJob *job);
+void ft_job_close (FtScheduler *s, FtJob *job, FtJobEnd end);
 
 /* machine.c */
 FtMachine *ft_machine_new (FtScheduler *s, const char *name, const char *addr, const char *type, const char *zone,
@@ -279,9 +292,8 @@
 void ft_roster_row_free (FtRosterRow *row);
 void ft_roster_add (FtScheduler *s, FtMachine *machine);
 void ft_roster_remove (FtScheduler *s, FtMachine *machine);
-/* A row as read from the store; machines are added to it by ft_roster_loaded(). */
-FtRosterRow *ft_roster_row (FtScheduler *s, const char *id);
-void ft_roster_loaded (FtRosterRow *row, FtMachine *machine);
+/* A row as read from the store names the machine; NULL: it names one that is gone. */
+void ft_roster_loaded (FtScheduler *s, const char *id, FtMachine *machine);
 /* Rows that are due, as writes; `most` at a time. */
 void ft_roster_writes (FtScheduler *s, GPtrArray *writes, guint most);
 void ft_roster_written (FtScheduler *s, const FtWrite *write, gboolean applied);
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -12,8 +12,8 @@
     return x->overlong ? -1 : 1;
   if (x->guaranteed != y->guaranteed)
     return x->guaranteed ? -1 : 1;
-  if (x->spec->priority != y->spec->priority)
-    return x->spec->priority > y->spec->priority ? -1 : 1;
+  if (x->priority != y->priority)
+    return x->priority > y->priority ? -1 : 1;
   if (x->too_late != y->too_late)
     return x->too_late ? 1 : -1;
   gint64 dx = x->deadline_at ? x->deadline_at : G_MAXINT64, dy = y->deadline_at ? y->deadline_at : G_MAXINT64;
@@ -54,7 +54,7 @@
     job->too_late = too_late (s, job);
     /* Whatever the order is, nothing waits for ever to begin: not what is too late
      * for its deadline, not the largest jobs of a class. */
-    job->overlong = !job->begun && s->now - job->accepted_at > (gint64) (FT_BEGIN_WITHIN_S * FT_SECOND);
+    job->overlong = !job->begun && s->now - job->ready_at > (gint64) (FT_BEGIN_WITHIN_S * FT_SECOND);
     g_ptr_array_add (s->order, job);
   }
   s->looked_at += s->order->len;
@@ -115,8 +115,9 @@
 /* Smaller is better: seconds until the task could start, then the room left and what the
  * machine's kind is expected to cost. */
 static double
-score (const FtMachine *machine, const FtJobSpec *spec, double spot_delay_s)
+score (const FtMachine *machine, const FtJob *job, double spot_delay_s)
 {
+  const FtJobSpec *spec = job->spec;
   double wait = 0;
   if (!g_hash_table_contains (machine->images, spec->image)) {
     wait = spec->image_gb / MAX (machine->type->fetch_gb_per_s, 1e-3);
@@ -134,7 +135,7 @@
   double left = (machine->type->cpus - machine->cpus - spec->cpus) / machine->type->cpus;
   /* Work that need not begin at once is packed, so that machines come free whole,
    * the dear ones first. */
-  double pack = spec->priority < FT_PRIORITY_HIGH ? FT_SCORE_PACK : 1;
+  double pack = job->priority < FT_PRIORITY_HIGH ? FT_SCORE_PACK : 1;
   double kind = machine->spot ? spot_delay_s : pack * FT_SCORE_ORDINARY_S;
   return wait + pack * FT_SCORE_LEFT_S * left + kind;
 }
@@ -195,7 +196,7 @@
     if (!candidate (s, job, task, w, machine))
       continue;
     seen++;
-    double value = score (machine, job->spec, spot_delay_s);
+    double value = score (machine, job, spot_delay_s);
     if (value < best_score) {
       best_score = value;
       best = machine;
--- a/src/core/preempt.c
+++ b/src/core/preempt.c
@@ -22,7 +22,7 @@
     return FALSE;
   if (job->guaranteed && victim->job->team != job->team && !victim->job->guaranteed)
     return victim->job->team->cpus > victim->job->team->limit->cpus;
-  return victim->job->spec->priority < job->spec->priority && !victim->job->guaranteed;
+  return victim->job->priority < job->priority && !victim->job->guaranteed;
 }
 
 static gint
@@ -70,7 +70,7 @@
 gboolean
 ft_preempt_for (FtScheduler *s, FtJob *job)
 {
-  if (s->now - job->accepted_at < (gint64) (FT_PREEMPT_AFTER_S * FT_SECOND))
+  if (s->now - job->ready_at < (gint64) (FT_PREEMPT_AFTER_S * FT_SECOND))
     return FALSE;
   if (s->victims == NULL)
     find_victims (s);
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -50,7 +50,7 @@
 static void
 settle_job (FtJob *job)
 {
-  FtTaskState to = job->state == FT_JOB_OPEN ? FT_TASK_QUEUED : FT_TASK_DROPPED;
+  FtTaskState to = job->state < FT_JOB_WITHDRAWN ? FT_TASK_QUEUED : FT_TASK_DROPPED;
   for (guint i = 0; i < job->spec->tasks && job->counts[FT_TASK_UNKNOWN] > 0; i++)
     if (job->tasks[i].state == FT_TASK_UNKNOWN)
       ft_task_set_state (job, i, to);
--- a/src/core/roster.c
+++ b/src/core/roster.c
@@ -1,5 +1,9 @@
 /* The roster: a committed superset of the machines that may have been sent a
- * command. Additions are urgent, since starts wait for them; removals are not. */
+ * command. Additions are urgent, since starts wait for them; removals are not.
+ *
+ * A row that was written under a larger limit of the state service stays as it is while
+ * nothing of it changes. When it must be written its machines move to new rows; the old row
+ * is deleted once all of these are stored, so that each machine is named at any moment. */
 #include "core/model.h"
 
 #include <string.h>
@@ -12,8 +16,8 @@
   g_free (row);
 }
 
-FtRosterRow *
-ft_roster_row (FtScheduler *s, const char *id)
+static FtRosterRow *
+find_or_add_row (FtScheduler *s, const char *id)
 {
   FtRosterRow *row = g_hash_table_lookup (s->rows, id);
   if (row != NULL)
@@ -43,15 +47,22 @@
   g_queue_push_tail (&s->dirty_rows, row);
 }
 
+/* The most that the entries of a row may take. */
+static gsize
+row_bytes_most (const FtScheduler *s)
+{
+  double largest
+      = MIN (s->settings->value_kb * 1024.0 / s->value_divisor, (double) FT_BODY_MOST / FT_ROSTER_ROWS_AT_ONCE);
+  return (gsize) (largest * FT_ROSTER_ROW_SHARE);
+}
+
 static FtRosterRow *
 row_with_room (FtScheduler *s, gsize bytes)
 {
-  double largest = MIN (s->settings->value_kb * 1024.0, (double) FT_BODY_MOST / FT_ROSTER_ROWS_AT_ONCE);
-  gsize most = (gsize) (largest * FT_ROSTER_ROW_SHARE);
-  if (s->open_row == NULL || s->open_row->bytes + bytes > most) {
+  if (s->open_row == NULL || s->open_row->bytes + bytes > row_bytes_most (s)) {
     /* The token makes the name unique: no row of an earlier leadership has it. */
     g_autofree char *id = g_strdup_printf ("%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, s->token, s->next_row++);
-    s->open_row = ft_roster_row (s, id);
+    s->open_row = find_or_add_row (s, id);
   }
   return s->open_row;
 }
@@ -64,23 +75,65 @@
   g_ptr_array_add (row->machines, machine);
 }
 
+static void
+join_new_row (FtScheduler *s, FtMachine *machine)
+{
+  join (row_with_room (s, entry_bytes (machine)), machine);
+  mark_dirty (s, machine->row, s->now);
+}
+
 void
 ft_roster_add (FtScheduler *s, FtMachine *machine)
 {
   if (machine->row != NULL || machine->state == FT_MACHINE_GONE || machine->addr == NULL)
     return;
-  join (row_with_room (s, entry_bytes (machine)), machine);
-  mark_dirty (s, machine->row, s->now);
+  join_new_row (s, machine);
 }
 
 void
-ft_roster_loaded (FtRosterRow *row, FtMachine *machine)
+ft_roster_loaded (FtScheduler *s, const char *id, FtMachine *machine)
 {
-  join (row, machine);
+  FtRosterRow *row = find_or_add_row (s, id);
   row->stored = TRUE;
+  if (machine == NULL || machine->row != NULL) {
+    /* Named by another row as well, after a split that did not end: one is enough. */
+    mark_dirty (s, row, s->now + (gint64) (FT_ROSTER_DROP_AFTER_S * FT_SECOND));
+    return;
+  }
+  join (row, machine);
   machine->in_roster = TRUE;
 }
 
+/* The machine needs the row that it was moved from no more. */
+static void
+leave_split_row (FtScheduler *s, FtMachine *machine)
+{
+  FtRosterRow *row = machine->split_row;
+  machine->split_row = NULL;
+  if (row != NULL && --row->moving == 0)
+    mark_dirty (s, row, s->now);
+}
+
+/* Moves the machines of a row that is too large to new rows. */
+static void
+split (FtScheduler *s, FtRosterRow *row)
+{
+  g_message ("roster row %s: split, %u machines", row->id, row->machines->len);
+  for (guint i = 0; i < row->machines->len; i++) {
+    FtMachine *machine = g_ptr_array_index (row->machines, i);
+    if (row->stored) {
+      leave_split_row (s, machine);
+      machine->split_row = row;
+      row->moving++;
+    }
+    join_new_row (s, machine);
+  }
+  g_ptr_array_set_size (row->machines, 0);
+  row->bytes = 0;
+  if (row->moving == 0)
+    mark_dirty (s, row, s->now);
+}
+
 /* A name that stays a while costs the next leader a probe, nothing else. */
 void
 ft_roster_remove (FtScheduler *s, FtMachine *machine)
@@ -89,6 +142,7 @@
   if (g_hash_table_contains (s->drained, machine->name))
     g_queue_push_tail (&s->marks_drop, g_strdup (machine->name));
   machine->in_roster = FALSE;
+  leave_split_row (s, machine);
   if (row == NULL)
     return;
   machine->row = NULL;
@@ -127,6 +181,12 @@
       continue;
     }
     row->dirty = FALSE;
+    if (row->bytes > row_bytes_most (s)) {
+      split (s, row);
+      n = g_queue_get_length (&s->dirty_rows);
+      i = 0;
+      continue;
+    }
     row->in_flight = TRUE;
     g_ptr_array_add (writes, write_of (row));
     most--;
@@ -148,7 +208,10 @@
   for (guint i = 0; i < write->machines->len; i++) {
     const FtListedMachine *entry = &g_array_index (write->machines, FtListedMachine, i);
     FtMachine *m = g_hash_table_lookup (s->machines, entry->name);
-    if (m == NULL || m->row != row || m->in_roster)
+    if (m == NULL || m->row != row)
+      continue;
+    leave_split_row (s, m);
+    if (m->in_roster)
       continue;
     m->in_roster = TRUE;
     s->dirty = TRUE;
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -10,6 +10,90 @@
   return (gint64) (s * FT_SECOND);
 }
 
+/* ---- jobs that wait for others ---- */
+
+static void
+open_job (FtScheduler *s, FtJob *job)
+{
+  ft_job_set_state (job, FT_JOB_OPEN);
+  job->ready_at = MAX (job->accepted_at, ft_dependencies_met_at (s->dependencies, job->spec->ref));
+  s->dirty = TRUE;
+}
+
+/* What it needs has ended, or those that need it have changed. */
+static void
+on_dependency_changed (const char *ref, gpointer data)
+{
+  FtScheduler *s = data;
+  FtJob *job = g_hash_table_lookup (s->jobs, ref);
+  const FtUrgency *urgency = ft_dependencies_urgency (s->dependencies, ref);
+  if (job == NULL || urgency == NULL)
+    return;
+  job->priority = urgency->priority;
+  job->deadline_at = urgency->deadline_at;
+  FtWait wait = ft_dependencies_wait (s->dependencies, ref);
+  if (wait == FT_WAIT_NONE && job->state == FT_JOB_WAITING)
+    open_job (s, job);
+  if (wait == FT_WAIT_CANCELLED && !job->needs_cancelled) {
+    job->needs_cancelled = TRUE;
+    ft_job_touch (job);
+  }
+}
+
+/* TRUE if its end is known to be committed. */
+static gboolean
+known_end (const FtScheduler *s, const char *ref, FtJobEnd *end)
+{
+  const FtJob *job = g_hash_table_lookup (s->jobs, ref);
+  guint value;
+  if (job != NULL) {
+    *end = FT_JOB_END_CANCELLED;
+    return job->state == FT_JOB_WITHDRAWN && job->withdrawal_read;
+  }
+  if (!ft_recent_map_find (s->closed, ref, &value))
+    return FALSE;
+  *end = (FtJobEnd) value;
+  return TRUE;
+}
+
+static void
+add_dependencies (FtScheduler *s, FtJob *job)
+{
+  const FtJobSpec *spec = job->spec;
+  g_autoptr (GPtrArray) needs = g_ptr_array_new ();
+  gboolean cancelled = FALSE;
+  /* Marks are only raised for jobs whose needs were done: then there is nothing to read. */
+  GStrv awaits = spec->sent > 0 ? NULL : spec->awaits;
+  for (guint i = 0; awaits != NULL && awaits[i] != NULL; i++) {
+    FtJobEnd end;
+    if (!known_end (s, awaits[i], &end))
+      g_ptr_array_add (needs, awaits[i]);
+    else
+      cancelled |= end == FT_JOB_END_CANCELLED;
+  }
+  g_ptr_array_add (needs, NULL);
+  FtUrgency own = { spec->priority, job->deadline_at, seconds (spec->estimate_s + FT_STEP_OVERHEAD_S) };
+  ft_dependencies_add (s->dependencies, spec->ref, (const char *const *) needs->pdata, cancelled, &own);
+}
+
+const char *
+ft_scheduler_next_unread_job (FtScheduler *s, gint64 now)
+{
+  s->now = now;
+  return s->loaded ? ft_dependencies_next_unread (s->dependencies, now, seconds (FT_NEED_READ_EVERY_S)) : NULL;
+}
+
+void
+ft_scheduler_job_end_read (FtScheduler *s, const char *ref, FtJobEnd end, gint64 age_us, gint64 now)
+{
+  s->now = now;
+  /* An open job's end comes by its own write, or with its withdrawal. */
+  if (g_hash_table_contains (s->jobs, ref))
+    return;
+  ft_recent_map_add (s->closed, ref, end);
+  ft_dependencies_settled (s->dependencies, ref, end, age_us >= 0 ? now - age_us : 0);
+}
+
 /* ---- life ---- */
 
 FtScheduler *
@@ -25,12 +109,14 @@
   s->random = g_rand_new_with_seed (seed);
   s->next_attempt = s->next_booking = 1;
   ft_tuning_defaults (&s->tuning);
+  s->value_divisor = 1;
   s->drained = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   s->teams = g_new0 (FtTeam, settings->n_teams);
   for (guint i = 0; i < settings->n_teams; i++)
     s->teams[i].limit = &settings->teams[i];
   s->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) ft_job_free);
   s->closed = ft_recent_map_new (FT_FINAL_CACHE);
+  s->dependencies = ft_dependencies_new (on_dependency_changed, s);
   s->machines = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) ft_machine_free);
   s->zones = ft_zones_new ();
   s->gone = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -57,6 +143,7 @@
   g_hash_table_unref (s->machines);
   g_hash_table_unref (s->jobs);
   ft_recent_map_free (s->closed);
+  ft_dependencies_free (s->dependencies);
   g_hash_table_unref (s->zones);
   g_hash_table_unref (s->gone);
   g_hash_table_unref (s->drained);
@@ -83,6 +170,13 @@
   s->tuning = *tuning;
 }
 
+void
+ft_scheduler_lower_value_limit (FtScheduler *s)
+{
+  if (s->settings->value_kb / (s->value_divisor * 2) >= FT_VALUE_KB_LEAST)
+    s->value_divisor *= 2;
+}
+
 void
 ft_scheduler_set_catalog (FtScheduler *s, FtCatalog *catalog)
 {
@@ -116,11 +210,12 @@
   for (guint i = spec->sent; initial == FT_TASK_UNKNOWN && i < spec->tasks; i++)
     ft_task_set_state (job, i, FT_TASK_QUEUED);
   gint64 age_us = MAX (0, wall_ms - spec->submitted_wall_ms) * 1000;
-  job->accepted_at = s->now - age_us;
+  job->accepted_at = job->ready_at = s->now - age_us;
   job->deadline_at = spec->deadline_s > 0 ? job->accepted_at + (gint64) (spec->deadline_s * FT_SECOND) : 0;
   s->open_tasks += spec->tasks;
   s->dirty = TRUE;
   g_hash_table_insert (s->jobs, spec->ref, job);
+  add_dependencies (s, job);
   g_message ("job %s: %s of %s, %u tasks, %.1f s ago, estimate %.1f s, due within %.1f s", spec->ref, spec->job_class,
              spec->team, spec->tasks, (double) age_us / FT_SECOND, spec->estimate_s, spec->deadline_s);
   return job;
@@ -166,7 +261,7 @@
 void
 ft_job_withdraw (FtScheduler *s, FtJob *job, gint64 at)
 {
-  if (job->state != FT_JOB_OPEN) {
+  if (job->state >= FT_JOB_WITHDRAWN) {
     job->withdrawn_at = MIN (job->withdrawn_at, at);
     return;
   }
@@ -196,6 +291,7 @@
   ft_job_withdraw (s, job, now - age_us);
   job->withdrawal_read = TRUE;
   ft_job_touch (job);
+  ft_dependencies_settled (s->dependencies, ref, FT_JOB_END_CANCELLED, now);
 }
 
 void
@@ -208,11 +304,11 @@
 }
 
 void
-ft_job_close (FtScheduler *s, FtJob *job)
+ft_job_close (FtScheduler *s, FtJob *job, FtJobEnd end)
 {
   g_autoptr (GList) all = g_hash_table_get_keys (job->attempts);
   ft_job_set_state (job, FT_JOB_CLOSED);
-  ft_recent_map_add (s->closed, job->spec->ref, job->state);
+  ft_recent_map_add (s->closed, job->spec->ref, end);
   for (GList *l = all; l != NULL; l = l->next) {
     FtAttempt *attempt = l->data;
     attempt->job = NULL;
@@ -229,7 +325,9 @@
   ft_placement_forget (s, job);
   if (job->touched)
     g_queue_remove (&s->touched, job);
-  g_hash_table_remove (s->jobs, job->spec->ref);
+  g_autofree char *ref = g_strdup (job->spec->ref);
+  g_hash_table_remove (s->jobs, ref);
+  ft_dependencies_settled (s->dependencies, ref, end, s->now);
 }
 
 FtJobView
@@ -837,10 +935,13 @@
 ft_scheduler_load_machine (FtScheduler *s, const char *row, const char *name, const char *addr, const char *type,
                            const char *zone, gboolean spot)
 {
-  if (g_hash_table_contains (s->machines, name) || g_hash_table_contains (s->gone, name))
+  FtMachine *known = g_hash_table_lookup (s->machines, name);
+  if (known != NULL || g_hash_table_contains (s->gone, name)) {
+    ft_roster_loaded (s, row, known);
     return;
+  }
   FtMachine *machine = ft_machine_new (s, name, addr, type, zone, spot);
-  ft_roster_loaded (ft_roster_row (s, row), machine);
+  ft_roster_loaded (s, row, machine);
   /* A former leader that lost the store may have answered it until then. */
   machine->last_answer = s->took_over_at + s->hold_us;
   machine->last_report = s->now;
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -33,6 +33,11 @@
 void ft_scheduler_job_added (FtScheduler *s, FtJobSpec *spec, guint64 stamp, gint64 now, gint64 wall_ms);
 /* Its row was read. `age_us`: how long ago it was committed. */
 void ft_scheduler_job_withdrawn (FtScheduler *s, const char *ref, gint64 age_us, gint64 now);
+/* A job that others wait for and of which nothing is known: its row is to be read, and its end,
+ * if it has one, to be told. Borrowed until the next call; NULL: none now. */
+const char *ft_scheduler_next_unread_job (FtScheduler *s, gint64 now);
+/* `age_us`: how long ago it ended; negative: not known. */
+void ft_scheduler_job_end_read (FtScheduler *s, const char *ref, FtJobEnd end, gint64 age_us, gint64 now);
 void ft_scheduler_set_catalog (FtScheduler *s, FtCatalog *catalog);
 
 typedef struct {
@@ -91,8 +96,9 @@
   FT_WRITE_SENT,        /* a job's row with its raised mark */
   FT_WRITE_CHUNK,       /* a chunk of a job's done-set */
   FT_WRITE_CHUNK_DROP,
-  FT_WRITE_JOB_DONE, /* conditional on the job's stamp */
-  FT_WRITE_JOB_GONE, /* all tasks of a withdrawn job are gone */
+  FT_WRITE_JOB_DONE,      /* conditional on the job's stamp */
+  FT_WRITE_JOB_GONE,      /* all tasks of a withdrawn job are gone */
+  FT_WRITE_JOB_CANCELLED, /* a job that it needs is cancelled; conditional on its stamp */
 } FtWriteKind;
 typedef struct {
   FtWriteKind kind;
@@ -112,6 +118,9 @@
 void ft_scheduler_written (FtScheduler *s, GPtrArray *writes, gint64 now);
 /* `conflicted` names the job whose row has changed, or is NULL: try again. */
 void ft_scheduler_unwritten (FtScheduler *s, GPtrArray *writes, const char *conflicted, gint64 now);
+/* The state service has refused a batch as invalid: its values may be above a limit that has
+ * changed. Rows of the roster are written at half the size from now on. */
+void ft_scheduler_lower_value_limit (FtScheduler *s);
 /* What the row of a conflicted job says: final done, or withdrawn. */
 /* It says open, at this revision: neither done nor withdrawn. */
 void ft_scheduler_job_stands (FtScheduler *s, const char *ref, guint64 stamp, gint64 now);
@@ -140,8 +149,15 @@
 guint ft_scheduler_up (const FtScheduler *s);
 
 /* ---- for operators and the mesh ---- */
-typedef void (*FtJobVisitor) (const char *ref, const char *job_class, const char *state, guint tasks, guint done,
-                              guint running, const char *waits_for, gpointer data);
+/* An open job as operators see it; all borrowed. */
+typedef struct {
+  const char *ref, *job_class, *state;
+  guint tasks, done, running;
+  const char *why_waiting;       /* empty: nothing of it waits */
+  const char *const *awaits;     /* jobs that it needs and that are not done */
+  const char *const *awaited_by; /* jobs that need it */
+} FtJobInfo;
+typedef void (*FtJobVisitor) (const FtJobInfo *job, gpointer data);
 void ft_scheduler_each_job (FtScheduler *s, FtJobVisitor visit, gpointer data);
 typedef void (*FtMachineVisitor) (const char *name, const char *state, const char *type, const char *zone,
                                   gboolean spot, guint64 session, guint tasks, const char *unused_why, gpointer data);
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -9,6 +9,9 @@
  * whole until it is withdrawn. */
 typedef enum { FT_KIND_ARRAY, FT_KIND_GANG, FT_KIND_SERVICE } FtJobKind;
 
+/* How a job ended; final. */
+typedef enum { FT_JOB_END_DONE, FT_JOB_END_CANCELLED } FtJobEnd;
+
 typedef struct {
   char *name;
   double cpus, cpus_max; /* guaranteed and at most; 0: none */
@@ -25,10 +28,11 @@
   guint n_teams;
   double report_s, lease_s, cancel_s; /* workers */
   double list_lag_s, cloud_rps;       /* cloud */
-  double state_rps, state_write_rps;  /* state service */
-  double value_kb;                    /* largest value of a row */
-  guint txn_ops;
-  guint size; /* number of controllers */
+  /* Limits of the state service: the lower of those in force and of those announced for later. */
+  double state_rps, state_write_rps;
+  double value_kb; /* largest value of a row */
+  guint txn_ops;   /* most changes of a transaction */
+  guint size;      /* number of controllers */
 } FtSettings;
 
 /* A machine type of the cloud's catalog. */
@@ -70,6 +74,7 @@
   double estimate_s, checkpoint_s, save_s;
   double deadline_s;        /* from the submission; 0: none */
   gint64 submitted_wall_ms; /* wall time of the acceptance */
+  GStrv awaits;             /* refs of the jobs that must be done before it; NULL: none */
   /* The mark: no task from here on has ever been sent to a machine. Raised by the
    * leader, and committed before it sends one. */
   guint sent;
--- a/src/net/admin.c
+++ b/src/net/admin.c
@@ -72,21 +72,34 @@
                                           "gpus_guaranteed", limit->gpus, "gpus_max", limit->gpus_max));
 }
 
+/* Refs as one text, the first few of many. */
+static char *
+some_refs (const char *const *refs)
+{
+  GString *text = g_string_new (NULL);
+  guint n = g_strv_length ((GStrv) refs);
+  for (guint i = 0; i < MIN (n, FT_ADMIN_REFS_MOST); i++)
+    g_string_append_printf (text, "%s%s", i > 0 ? " " : "", refs[i]);
+  if (n > FT_ADMIN_REFS_MOST)
+    g_string_append_printf (text, " and %u more", n - FT_ADMIN_REFS_MOST);
+  return g_string_free (text, FALSE);
+}
+
 static void
-add_job (const char *ref, const char *job_class, const char *state, guint tasks, guint done, guint running,
-         const char *waits_for, gpointer data)
+add_job (const FtJobInfo *job, gpointer data)
 {
-  json_array_append_new (data, json_pack ("{s:s, s:s, s:s, s:i, s:i, s:i, s:s}", "job", ref, "class", job_class,
-                                          "state", state, "tasks", (int) tasks, "done", (int) done, "running",
-                                          (int) running, "waits_for", waits_for));
+  g_autofree char *awaits = some_refs (job->awaits), *awaited_by = some_refs (job->awaited_by);
+  json_array_append_new (data, json_pack ("{s:s, s:s, s:s, s:i, s:i, s:i, s:s, s:s, s:s}", "job", job->ref, "class",
+                                          job->job_class, "state", job->state, "tasks", (int) job->tasks, "done",
+                                          (int) job->done, "running", (int) job->running, "waits_for", job->why_waiting,
+                                          "awaits", awaits, "awaited_by", awaited_by));
 }
 
 static void
-add_waiting (const char *ref, const char *job_class, const char *state, guint tasks, guint done, guint running,
-             const char *waits_for, gpointer data)
+add_waiting (const FtJobInfo *job, gpointer data)
 {
-  if (*waits_for != '\0')
-    add_job (ref, job_class, state, tasks, done, running, waits_for, data);
+  if (*job->why_waiting != '\0')
+    add_job (job, data);
 }
 
 static void
--- a/src/net/front.c
+++ b/src/net/front.c
@@ -21,6 +21,17 @@
   return FALSE;
 }
 
+gboolean
+ft_node_has_older_peer (const FtNode *node, gint64 now)
+{
+  for (guint i = 0; i < node->peers->len; i++) {
+    const FtPeerView *view = &g_array_index (node->peers, FtPeerView, i);
+    if (peer_fresh (view, now) && !view->knows_needs)
+      return TRUE;
+  }
+  return FALSE;
+}
+
 gboolean
 ft_node_alone_unserved (const FtNode *node, gint64 now)
 {
--- a/src/net/leader.c
+++ b/src/net/leader.c
@@ -309,21 +309,20 @@
   Call *call = data;
   FtNode *node = call->node;
   FtRow row;
-  guint tasks;
+  FtJobRow state;
   if (stale (call)) {
     call_free (call);
     return;
   }
-  const char *state = status == 200 && ft_store_row (body, &row) ? ft_row_job_state (row.value, &tasks) : NULL;
-  if (state == NULL) {
+  if (status != 200 || !ft_store_row (body, &row) || !ft_row_job_parse (row.value, &state)) {
     try_again (call, ask_job); /* the job stays as it is until the answer is known */
     return;
   }
   gint64 now = g_get_monotonic_time ();
-  if (strcmp (state, "open") == 0)
+  if (state.open)
     ft_scheduler_job_stands (node->scheduler, call->text, row.stamp, now);
   else
-    ft_scheduler_job_resolved (node->scheduler, call->text, strcmp (state, "done") == 0, now);
+    ft_scheduler_job_resolved (node->scheduler, call->text, state.end == FT_JOB_END_DONE, now);
   call_free (call);
   ft_node_pump (node);
 }
@@ -358,6 +357,20 @@
   batch_over (node, call, FALSE, ref);
 }
 
+/* The state service will not take it, however often it is sent: its limits may have changed.
+ * What comes next is smaller. */
+static void
+batch_invalid (FtNode *node, Call *call)
+{
+  ft_metrics_count (node->metrics, FT_COUNT_BATCHES_INVALID);
+  g_warning ("node %s: the state service refused a batch of %u writes as invalid", node->config->member,
+             call->writes->len);
+  node->batch_ops_most = MAX (FT_TXN_OPS_LEAST, node->batch_ops_most / 2);
+  ft_scheduler_lower_value_limit (node->scheduler);
+  node->next_batch = g_get_monotonic_time () + (gint64) (FT_BATCH_INVALID_PAUSE_S * FT_SECOND);
+  batch_over (node, call, FALSE, NULL);
+}
+
 static void
 on_batch (guint status, const json_t *body, gpointer data)
 {
@@ -376,6 +389,8 @@
   } else if (status == 503 || status == 429) {
     node->next_batch = soon (node);
     batch_over (node, call, FALSE, NULL);
+  } else if (status == 400) {
+    batch_invalid (node, call);
   } else {
     ft_metrics_count (node->metrics, FT_COUNT_BATCHES_UNCERTAIN);
     read_journal (g_steal_pointer (&call));
@@ -387,7 +402,7 @@
 {
   if (node->batch_in_flight || now < node->next_batch)
     return;
-  GPtrArray *writes = ft_scheduler_next_writes (node->scheduler, node->config->core.txn_ops - 1, now);
+  GPtrArray *writes = ft_scheduler_next_writes (node->scheduler, node->batch_ops_most - 1, now);
   if (writes->len == 0) {
     g_ptr_array_unref (writes);
     return;
@@ -400,12 +415,49 @@
   ft_txn_if (txn, FT_KEY_JOURNAL, node->journal_stamp);
   ft_txn_put (txn, FT_KEY_JOURNAL, ft_row_journal (ft_lease_token (node->lease), call->batch));
   for (guint i = 0; i < writes->len; i++)
-    ft_txn_add_write (txn, g_ptr_array_index (writes, i));
+    ft_txn_add_write (txn, g_ptr_array_index (writes, i), wall_ms ());
   node->batch_in_flight = TRUE;
   ft_state_commit (node->state, txn, FT_STATE_COMMIT, on_batch, call);
   json_decref (txn);
 }
 
+/* ---- jobs that others wait for ---- */
+
+static void
+on_need_read (guint status, const json_t *body, gpointer data)
+{
+  g_autoptr (Call) call = data;
+  FtNode *node = call->node;
+  FtRow row;
+  FtJobRow state;
+  if (stale (call))
+    return;
+  node->need_reads--;
+  /* Open, or not answered: the scheduler names it again. */
+  if (status != 200 || !ft_store_row (body, &row) || !ft_row_job_parse (row.value, &state) || state.open)
+    return;
+  gint64 age_us = state.ended_wall_ms > 0 ? MAX (0, wall_ms () - state.ended_wall_ms) * 1000 : -1;
+  ft_scheduler_job_end_read (node->scheduler, call->text, state.end, age_us, g_get_monotonic_time ());
+  ft_node_pump (node);
+}
+
+/* Jobs that others need and that are not among the open ones: only their rows tell how they
+ * have ended. */
+static void
+read_needs (FtNode *node, gint64 now)
+{
+  while (node->need_reads < FT_NEED_READS_MOST) {
+    const char *ref = ft_scheduler_next_unread_job (node->scheduler, now);
+    if (ref == NULL)
+      return;
+    Call *call = call_new (node);
+    call->text = g_strdup (ref);
+    node->need_reads++;
+    g_autofree char *key = ft_key_job (ref);
+    ft_state_get (node->state, key, FT_STATE_COMMIT, on_need_read, call);
+  }
+}
+
 /* ---- direct commands ---- */
 
 static void
@@ -545,9 +597,10 @@
   ft_metrics_count (node->metrics, FT_COUNT_TAKEOVERS);
   node->journal_stamp = stamp;
   node->journal_batch = 0;
+  node->batch_ops_most = node->config->core.txn_ops;
   node->led_since = now;
   node->next_list = node->next_scheduler_tick = now;
-  ft_state_set_share (node->state, FT_LEADER_SHARE);
+  ft_state_set_leading (node->state, TRUE);
   load_next (node, FT_PREFIX_OPEN, NULL, 0);
 }
 
@@ -556,11 +609,11 @@
 {
   node->term++;
   node->batch_in_flight = node->renew_in_flight = node->watch_in_flight = node->list_in_flight = FALSE;
-  node->directs = node->cloud_calls = 0;
+  node->directs = node->cloud_calls = node->need_reads = 0;
   node->overrun_since = 0;
   node->next_batch = node->next_watch = 0;
   g_clear_pointer (&node->scheduler, ft_scheduler_free);
-  ft_state_set_share (node->state, FT_FOLLOWER_SHARE);
+  ft_state_set_leading (node->state, FALSE);
 }
 
 void
@@ -570,6 +623,7 @@
     return;
   ft_scheduler_place (node->scheduler, now, ft_lease_may_start (node->lease, now));
   commit_batch (node, now);
+  read_needs (node, now);
   send_directs (node, now);
   call_cloud (node, now);
 }
--- a/src/net/mesh.c
+++ b/src/net/mesh.c
@@ -47,18 +47,13 @@
 }
 
 static void
-add_job (const char *ref, const char *job_class, const char *state, guint tasks, guint done, guint running,
-         const char *waits_for, gpointer data)
+add_job (const FtJobInfo *job, gpointer data)
 {
-  (void) job_class;
-  (void) state;
-  (void) tasks;
-  (void) waits_for;
   FtHeartbeat *beat = data;
   /* For display only: what is left out shows as queued. A body beyond the limit
    * would be refused whole. */
-  if ((done > 0 || running > 0) && beat->jobs->len < FT_MESH_JOBS_MOST)
-    ft_heartbeat_add_job (beat, ref, done, running);
+  if ((job->done > 0 || job->running > 0) && beat->jobs->len < FT_MESH_JOBS_MOST)
+    ft_heartbeat_add_job (beat, job->ref, job->done, job->running);
 }
 
 /* ---- withdrawals: hints, on which no rule rests ---- */
@@ -113,6 +108,7 @@
 {
   gint64 served = ft_state_last_served (node->state);
   FtHeartbeat *beat = ft_heartbeat_new (node->config->member);
+  beat->knows_needs = TRUE;
   beat->served = served > 0;
   beat->served_ms_ago = beat->served ? (guint64) (now - served) / 1000 : 0;
   beat->yields = node->yielded_at > 0 && now - node->yielded_at < (gint64) (FT_YIELD_TOLD_S * FT_SECOND);
@@ -204,6 +200,7 @@
     return;
   }
   view->heard_at = g_get_monotonic_time ();
+  view->knows_needs = beat->knows_needs;
   if (beat->served)
     view->served_at = view->heard_at - (gint64) beat->served_ms_ago * 1000;
   if (beat->token > 0) {
--- a/src/net/metrics.c
+++ b/src/net/metrics.c
@@ -6,10 +6,10 @@
 #include "core/constants.h"
 
 static const char *const counter_names[FT_COUNTERS]
-    = { "submissions_accepted", "submissions_refused", "users_told_unavailable", "polls",
-        "withdrawals",          "reports_answered",    "reports_redirected",     "takeovers",
-        "step_downs",           "direct_unanswered",   "batches_committed",      "batches_uncertain",
-        "malformed_workers",    "malformed_cloud",     "malformed_state",        "malformed_peers" };
+    = { "submissions_accepted", "submissions_refused", "users_told_unavailable", "polls",           "withdrawals",
+        "cancelled_with_need",  "reports_answered",    "reports_redirected",     "takeovers",       "step_downs",
+        "direct_unanswered",    "batches_committed",   "batches_uncertain",      "batches_invalid", "malformed_workers",
+        "malformed_cloud",      "malformed_state",     "malformed_peers" };
 static const char *const timer_names[FT_TIMERS] = { "submit_ms", "batch_ms", "direct_ms", "recovery_ms" };
 
 struct _FtMetrics {
--- a/src/net/metrics.h
+++ b/src/net/metrics.h
@@ -11,6 +11,7 @@
   FT_COUNT_UNAVAILABLE, /* 503 to users */
   FT_COUNT_POLLS,
   FT_COUNT_WITHDRAWN,
+  FT_COUNT_CANCELLED_WITH_NEED, /* found on a poll: a job that it needs is cancelled */
   FT_COUNT_REPORTS,
   FT_COUNT_REDIRECTS,
   FT_COUNT_TAKEOVERS,
@@ -18,6 +19,7 @@
   FT_COUNT_DIRECT_UNANSWERED,
   FT_COUNT_BATCHES,
   FT_COUNT_BATCHES_UNCERTAIN,
+  FT_COUNT_BATCHES_INVALID,   /* refused by the state service as such, not for a condition */
   FT_COUNT_MALFORMED_WORKERS, /* messages that were refused; see ft_node_malformed() */
   FT_COUNT_MALFORMED_CLOUD,
   FT_COUNT_MALFORMED_STATE,
--- a/src/net/node.c
+++ b/src/net/node.c
@@ -320,7 +320,7 @@
   node->mesh_jobs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g_queue_init (&node->withdrawn);
   node->polls = ft_polls_new (node);
-  node->finals = ft_recent_map_new (FT_FINAL_CACHE);
+  node->known = ft_known_jobs_new ();
   g_queue_init (&node->reports);
   guint most = (guint) (config->max_connections * FT_SOCKET_SHARE) - FT_CONNECTIONS_PER_HOST;
   node->front = ft_http_server_new (config->listen, FT_BODY_CBOR, most, ft_front_handle, node, error);
@@ -358,7 +358,7 @@
   ft_catalog_unref (node->catalog);
   g_array_unref (node->peers);
   g_hash_table_unref (node->mesh_jobs);
-  ft_recent_map_free (node->finals);
+  ft_known_jobs_free (node->known);
   ft_mesh_forget_withdrawn (node, G_MAXINT64);
   g_free (node->mesh_leader);
   g_rand_free (node->random);
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -3,10 +3,10 @@
 #pragma once
 #include "config.h"
 #include "core/lease.h"
-#include "core/recent_map.h"
 #include "core/scheduler.h"
 #include "net/budget.h"
 #include "net/http.h"
+#include "net/known_jobs.h"
 #include "net/metrics.h"
 #include "net/state_client.h"
 
@@ -17,7 +17,8 @@
 typedef struct {
   const FtPeer *peer; /* borrowed */
   gint64 heard_at;
-  gint64 served_at; /* when the state service last answered it, on our clock */
+  gboolean knows_needs; /* its version knows of jobs that wait for others */
+  gint64 served_at;     /* when the state service last answered it, on our clock */
   gboolean in_flight;
   gint64 sent_at;
   gint64 answered_at; /* its last answer to a heartbeat of ours */
@@ -40,8 +41,9 @@
   FtScheduler *scheduler;
   guint term;
   guint64 journal_stamp, journal_batch;
+  guint batch_ops_most; /* changes in a batch, the journal's row included */
   gboolean sweep_in_flight, renew_in_flight, batch_in_flight, list_in_flight, catalog_in_flight, watch_in_flight;
-  guint directs, cloud_calls;
+  guint directs, cloud_calls, need_reads;
   guint64 watch_since;
   gint64 withdrawals_read_at; /* when the reading of the open jobs' rows began */
   gint64 last_tick;
@@ -70,7 +72,7 @@
   gboolean settings_in_flight;
 
   FtPolls *polls;
-  FtRecentMap *finals; /* ref -> final state and count of tasks, packed by user_api.c */
+  FtKnownJobs *known; /* what was read of jobs */
   guint timer;
 };
 
@@ -83,6 +85,8 @@
 gboolean ft_node_peer_served (const FtNode *node, gint64 after, gint64 now);
 /* The state service answers a peer, but not us. */
 gboolean ft_node_alone_unserved (const FtNode *node, gint64 now);
+/* A peer that is heard runs a version that starts jobs whatever they wait for. */
+gboolean ft_node_has_older_peer (const FtNode *node, gint64 now);
 /* We are leader no more. */
 void ft_node_step_down (FtNode *node, const char *why);
 /* A message of a worker, the cloud, the state service or a peer was refused as a whole,
@@ -109,10 +113,8 @@
 typedef void (*FtPollDone) (FtPollResult result, gpointer data);
 FtPolls *ft_polls_new (FtNode *node);
 void ft_polls_free (FtPolls *polls);
-/* The job's row is open at this revision. */
-void ft_polls_remember (FtPolls *polls, const char *ref, guint64 stamp);
-/* Asks whether it still is; FALSE, and `done` is not called, if its revision is not
- * known or too many wait. */
+/* Asks whether the job's row is as it is known; FALSE, and `done` is not called, if it is
+ * not known to be open or too many wait. */
 gboolean ft_polls_ask (FtPolls *polls, const char *ref, FtPollDone done, gpointer data);
 
 /* mesh.c */
--- a/src/net/polls.c
+++ b/src/net/polls.c
@@ -6,9 +6,7 @@
 #include "wire/store.h"
 
 struct _FtPolls {
-  FtNode *node;      /* borrowed */
-  GHashTable *known; /* ref -> revision of its row while open */
-  GQueue known_order;
+  FtNode *node;     /* borrowed */
   GQueue waiting;   /* Poll, oldest first */
   GPtrArray *asked; /* Poll of the request under way; NULL: none */
 };
@@ -33,8 +31,6 @@
 {
   FtPolls *polls = g_new0 (FtPolls, 1);
   polls->node = node;
-  polls->known = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  g_queue_init (&polls->known_order);
   g_queue_init (&polls->waiting);
   return polls;
 }
@@ -44,8 +40,6 @@
 {
   if (polls == NULL)
     return;
-  g_hash_table_unref (polls->known);
-  g_queue_clear_full (&polls->known_order, g_free);
   g_queue_clear_full (&polls->waiting, (GDestroyNotify) poll_free);
   if (polls->asked != NULL) {
     g_ptr_array_foreach (polls->asked, (GFunc) (void (*) (void)) poll_free, NULL);
@@ -54,20 +48,6 @@
   g_free (polls);
 }
 
-void
-ft_polls_remember (FtPolls *polls, const char *ref, guint64 stamp)
-{
-  guint64 *value = g_new (guint64, 1);
-  *value = stamp;
-  if (!g_hash_table_contains (polls->known, ref))
-    g_queue_push_tail (&polls->known_order, g_strdup (ref));
-  g_hash_table_insert (polls->known, g_strdup (ref), value);
-  while (g_queue_get_length (&polls->known_order) > FT_KNOWN_OPEN_MOST) {
-    g_autofree char *oldest = g_queue_pop_head (&polls->known_order);
-    g_hash_table_remove (polls->known, oldest);
-  }
-}
-
 static void
 finish (Poll *poll, FtPollResult result)
 {
@@ -91,7 +71,7 @@
       continue;
     }
     any = TRUE;
-    g_hash_table_remove (polls->known, poll->ref);
+    ft_known_jobs_forget (polls->node->known, poll->ref);
     finish (poll, FT_POLL_CHANGED);
   }
   Poll *poll;
@@ -147,12 +127,12 @@
 gboolean
 ft_polls_ask (FtPolls *polls, const char *ref, FtPollDone done, gpointer data)
 {
-  const guint64 *stamp = g_hash_table_lookup (polls->known, ref);
-  if (stamp == NULL || g_queue_get_length (&polls->waiting) >= FT_POLLS_MOST)
+  const FtKnownJob *job = ft_known_jobs_find (polls->node->known, ref);
+  if (job == NULL || g_queue_get_length (&polls->waiting) >= FT_POLLS_MOST)
     return FALSE;
   Poll *poll = g_new0 (Poll, 1);
   poll->ref = g_strdup (ref);
-  poll->stamp = *stamp;
+  poll->stamp = job->stamp;
   poll->began = g_get_monotonic_time ();
   poll->done = done;
   poll->data = data;
--- a/src/net/state_client.c
+++ b/src/net/state_client.c
@@ -22,6 +22,7 @@
   FtHttpClient *lease_client, *watch_client;
   FtBudget requests, writes;
   GQueue queues[FT_STATE_READ + 1];
+  guint writes_waiting; /* changes of the requests in the queues */
   guint pump_timer;
   gint64 last_served, failing_since;
 };
@@ -38,7 +39,8 @@
   state->lease_client = ft_http_client_new (2, 2);
   state->watch_client = ft_http_client_new (2, 2);
   ft_budget_init (&state->requests, state->rps * FT_FOLLOWER_SHARE, state->rps * FT_FOLLOWER_SHARE, now);
-  ft_budget_init (&state->writes, state->write_rps * FT_FOLLOWER_SHARE, state->write_rps * FT_FOLLOWER_SHARE, now);
+  double writes = state->write_rps * FT_FOLLOWER_WRITE_SHARE;
+  ft_budget_init (&state->writes, writes, writes, now);
   for (int i = 0; i <= FT_STATE_READ; i++)
     g_queue_init (&state->queues[i]);
   return state;
@@ -70,11 +72,12 @@
 }
 
 void
-ft_state_set_share (FtState *state, double share)
+ft_state_set_leading (FtState *state, gboolean leading)
 {
   gint64 now = g_get_monotonic_time ();
-  ft_budget_set_rate (&state->requests, state->rps * share, now);
-  ft_budget_set_rate (&state->writes, state->write_rps * share, now);
+  ft_budget_set_rate (&state->requests, state->rps * (leading ? FT_LEADER_SHARE : FT_FOLLOWER_SHARE), now);
+  ft_budget_set_rate (&state->writes, state->write_rps * (leading ? FT_LEADER_WRITE_SHARE : FT_FOLLOWER_WRITE_SHARE),
+                      now);
 }
 
 static void
@@ -111,21 +114,42 @@
   return G_SOURCE_REMOVE;
 }
 
+static void
+take_budgets (FtState *state, const Request *request)
+{
+  ft_budget_take (&state->requests, 1);
+  ft_budget_take (&state->writes, request->writes);
+}
+
+static void
+pump_again_soon (FtState *state)
+{
+  if (state->pump_timer == 0)
+    state->pump_timer = g_timeout_add (FT_BUDGET_WAIT_MS, on_pump_timer, state);
+}
+
+/* What waits for changes holds up what comes after it in its queue, and other changes, but
+ * no request that makes none. */
 static void
 state_pump (FtState *state)
 {
   gint64 now = g_get_monotonic_time ();
+  gboolean writes_used_up = FALSE;
   for (int i = 0; i <= FT_STATE_READ; i++) {
     Request *request;
     while ((request = g_queue_peek_head (&state->queues[i])) != NULL) {
-      if (!ft_budget_has (&state->requests, 1, now) || !ft_budget_has (&state->writes, request->writes, now)) {
-        if (state->pump_timer == 0)
-          state->pump_timer = g_timeout_add (FT_BUDGET_WAIT_MS, on_pump_timer, state);
+      if (!ft_budget_has (&state->requests, 1, now)) {
+        pump_again_soon (state);
         return;
       }
+      if (request->writes > 0 && (writes_used_up || !ft_budget_has (&state->writes, request->writes, now))) {
+        writes_used_up = TRUE;
+        pump_again_soon (state);
+        break;
+      }
       g_queue_pop_head (&state->queues[i]);
-      ft_budget_take (&state->requests, 1);
-      ft_budget_take (&state->writes, request->writes);
+      state->writes_waiting -= request->writes;
+      take_budgets (state, request);
       send_request (request, state->client);
     }
   }
@@ -150,11 +174,11 @@
   request->done = done;
   request->data = data;
   if (priority == FT_STATE_LEASE) {
-    ft_budget_take (&state->requests, 1);
-    ft_budget_take (&state->writes, request->writes);
+    take_budgets (state, request);
     send_request (request, state->lease_client);
     return;
   }
+  state->writes_waiting += request->writes;
   g_queue_push_tail (&state->queues[priority], request);
   state_pump (state);
 }
@@ -216,6 +240,12 @@
          + g_queue_get_length ((GQueue *) &state->queues[FT_STATE_READ]);
 }
 
+double
+ft_state_write_wait_s (const FtState *state)
+{
+  return state->writes_waiting > 0 ? (state->writes_waiting - state->writes.level) / state->writes.rate : 0;
+}
+
 gint64
 ft_state_failing_since (const FtState *state)
 {
--- a/src/net/state_client.h
+++ b/src/net/state_client.h
@@ -7,14 +7,15 @@
 
 typedef enum {
   FT_STATE_LEASE,  /* renewals and acquisitions: never wait for a budget */
-  FT_STATE_COMMIT, /* the leader's batches, submissions, withdrawals */
+  FT_STATE_CANCEL, /* cancellations: before all that waits for a budget */
+  FT_STATE_COMMIT, /* the leader's batches, submissions */
   FT_STATE_READ,
 } FtStatePriority;
 
 FtState *ft_state_new (const FtConfig *config);
 void ft_state_free (FtState *state);
-/* Which share of the limits this controller allows itself. */
-void ft_state_set_share (FtState *state, double share);
+/* Whether this controller leads, and so allows itself the leader's share of the limits. */
+void ft_state_set_leading (FtState *state, gboolean leading);
 
 /* `done` gets status 0 when no answer came: the request may still be executed.
  * 503 from a full queue looks like the service's own. */
@@ -30,5 +31,7 @@
 gint64 ft_state_failing_since (const FtState *state);
 /* Requests waiting for the budget. */
 guint ft_state_queued (const FtState *state);
+/* Seconds until the changes that wait now have been sent, within the budget. */
+double ft_state_write_wait_s (const FtState *state);
 /* When the service last served us; 0: never. */
 gint64 ft_state_last_served (const FtState *state);
--- a/src/net/user_api.c
+++ b/src/net/user_api.c
@@ -4,6 +4,7 @@
 
 #include "core/admission.h"
 #include "core/constants.h"
+#include "net/lineage.h"
 #include "net/node.h"
 #include "wire/messages.h"
 #include "wire/store.h"
@@ -13,7 +14,8 @@
   FtHttpRequest *request;
   char *ref;
   FtJobSpec *spec; /* submissions */
-  gboolean created, withdraw;
+  gboolean withdraw;
+  gboolean with_need; /* withdrawn since a job that it needs is */
   guint tries;
   gint64 began;
 } UserCall;
@@ -38,7 +40,9 @@
     ft_metrics_count (metrics, FT_COUNT_ACCEPTED);
     ft_metrics_time (metrics, FT_TIME_SUBMIT, g_get_monotonic_time () - call->began);
   } else {
-    ft_metrics_count (metrics, status == 503 ? FT_COUNT_UNAVAILABLE : FT_COUNT_POLLS);
+    ft_metrics_count (metrics, status == 503   ? FT_COUNT_UNAVAILABLE
+                               : status == 422 ? FT_COUNT_REFUSED
+                                               : FT_COUNT_POLLS);
   }
   ft_http_respond (call->request, status, body);
   ft_job_spec_free (call->spec);
@@ -54,28 +58,20 @@
 
 /* ---- states ---- */
 
-static void
-remember_final (FtNode *node, const char *ref, const char *state, guint tasks)
-{
-  /* One number holds the count of tasks and, in its last bit, the state. */
-  ft_recent_map_add (node->finals, ref, tasks * 2 + (strcmp (state, "done") == 0));
-}
-
 static json_t *
-final_body (const char *ref, const char *state, guint tasks)
+ended_body (const char *ref, FtJobEnd end, guint tasks)
 {
-  gboolean done = strcmp (state, "done") == 0;
-  return ft_message_job_state (ref, state, done ? tasks : 0, 0, TRUE);
+  gboolean done = end == FT_JOB_END_DONE;
+  return ft_message_job_state (ref, done ? "done" : "cancelled", done ? tasks : 0, 0, TRUE);
 }
 
-/* The answer from memory if the job's state is final; NULL otherwise. */
+/* The answer from memory if the job is known to have ended; NULL otherwise. */
 static json_t *
 remembered (FtNode *node, const char *ref)
 {
-  guint packed;
-  if (!ft_recent_map_find (node->finals, ref, &packed))
-    return NULL;
-  return final_body (ref, packed % 2 ? "done" : "cancelled", packed / 2);
+  FtJobEnd end;
+  guint tasks;
+  return ft_known_jobs_end (node->known, ref, &end, &tasks) ? ended_body (ref, end, tasks) : NULL;
 }
 
 /* An open job's counts are for display: the leader's own, or its last summary. */
@@ -91,40 +87,63 @@
   return ft_message_job_state (ref, view.running > 0 ? "running" : "queued", view.done, view.running, TRUE);
 }
 
-static json_t *
-state_body (FtNode *node, const char *ref, const char *state, guint tasks)
+static void
+answer_ended (UserCall *call, FtJobEnd end, guint tasks)
+{
+  ft_known_jobs_ended (call->node->known, call->ref, end, tasks);
+  finish (call, 200, ended_body (call->ref, end, tasks));
+}
+
+static void read_job (UserCall *call);
+
+static void
+on_lineage (FtLineageResult result, gpointer data)
+{
+  UserCall *call = data;
+  json_t *ended = remembered (call->node, call->ref);
+  if (ended != NULL) {
+    finish (call, 200, ended); /* found out meanwhile */
+  } else if (result == FT_LINEAGE_OPEN) {
+    finish (call, 200, open_body (call->node, call->ref));
+  } else if (result == FT_LINEAGE_CANCELLED) {
+    call->with_need = call->withdraw = TRUE;
+    read_job (call);
+  } else {
+    finish (call, 503, NULL);
+  }
+}
+
+/* Its row is open; but what it needs may have been cancelled. */
+static void
+answer_open (UserCall *call)
 {
-  if (strcmp (state, "open") == 0)
-    return open_body (node, ref);
-  remember_final (node, ref, state, tasks);
-  return final_body (ref, state, tasks);
+  ft_lineage_check (call->node, call->ref, on_lineage, call);
 }
 
 /* ---- reading a job ---- */
 
 static void withdraw_open (UserCall *call, const FtRow *row, guint tasks);
-static void read_job (UserCall *call);
 
 static void
 on_read (guint status, const json_t *body, gpointer data)
 {
   UserCall *call = data;
   FtRow row;
-  guint tasks = 0;
+  FtJobRow state;
   if (status == 404) {
     /* A submission whose commit got no answer may still be applied: not yet accepted. */
     finish (call, call->spec != NULL ? 503 : 404, NULL);
     return;
   }
-  const char *state = status == 200 && ft_store_row (body, &row) ? ft_row_job_state (row.value, &tasks) : NULL;
-  if (state == NULL)
+  if (status != 200 || !ft_store_row (body, &row) || !ft_row_job_parse (row.value, &state)) {
     finish (call, 503, NULL);
-  else if (call->withdraw && strcmp (state, "open") == 0)
-    withdraw_open (call, &row, tasks);
-  else {
-    if (strcmp (state, "open") == 0)
-      ft_polls_remember (call->node->polls, call->ref, row.stamp);
-    finish (call, 200, state_body (call->node, call->ref, state, tasks));
+  } else if (!state.open) {
+    answer_ended (call, state.end, state.tasks);
+  } else if (call->withdraw) {
+    withdraw_open (call, &row, state.tasks);
+  } else {
+    ft_known_jobs_open (call->node->known, call->ref, row.stamp, state.has_needs);
+    answer_open (call);
   }
 }
 
@@ -135,7 +154,7 @@
   if (too_late (call))
     finish (call, 503, NULL);
   else
-    ft_state_get (call->node->state, key, FT_STATE_READ, on_read, call);
+    ft_state_get (call->node->state, key, call->withdraw ? FT_STATE_CANCEL : FT_STATE_READ, on_read, call);
 }
 
 /* ---- submission ---- */
@@ -145,8 +164,10 @@
 {
   UserCall *call = data;
   guint64 stamp;
-  if (status == 200 && ft_store_revision (body, &stamp))
-    ft_polls_remember (call->node->polls, call->ref, stamp);
+  if (status == 200 && ft_store_revision (body, &stamp)) {
+    FtKnownJob *job = ft_known_jobs_open (call->node->known, call->ref, stamp, call->spec->awaits != NULL);
+    job->needs = g_strdupv (call->spec->awaits);
+  }
   if (status == 200)
     finish (call, 201, ft_message_job_state (call->ref, "queued", 0, 0, FALSE));
   else if (status == 409 || status == 0)
@@ -161,27 +182,75 @@
   g_autofree char *job = ft_key_job (call->ref), *open = ft_key_open (call->ref);
   json_t *txn = ft_txn_new ();
   ft_txn_if (txn, job, 0);
-  ft_txn_put (txn, job, ft_row_job ("open", call->spec->tasks));
+  ft_txn_put (txn, job, ft_row_job_open (call->spec));
   ft_txn_put (txn, open, ft_row_open (call->spec));
   ft_state_commit (call->node->state, txn, FT_STATE_COMMIT, on_created, call);
   json_decref (txn);
 }
 
+static void
+on_needs_checked (FtNeedsResult result, const char *missing, gpointer data)
+{
+  UserCall *call = data;
+  if (result == FT_NEEDS_ACCEPTED) {
+    create_job (call);
+  } else if (result == FT_NEEDS_MISSING) {
+    g_autofree char *why = g_strdup_printf ("it needs job %s, which was never accepted", missing);
+    g_message ("job %s: refused: %s", call->ref, why);
+    finish (call, 422, json_pack ("{s:s}", "error", why));
+  } else {
+    finish (call, 503, NULL);
+  }
+}
+
 static gboolean
 overloaded (const FtNode *node)
 {
   return !ft_state_contact (node->state, g_get_monotonic_time ()) || ft_state_queued (node->state) > FT_STATE_QUEUE_MOST
+         || ft_state_write_wait_s (node->state) > FT_SUBMIT_WAIT_MOST_S
          || (node->scheduler != NULL && ft_scheduler_open_tasks (node->scheduler) > FT_OPEN_TASKS_MOST);
 }
 
+/* A job that waits for others is safe only with controllers that know of it: an older leader
+ * would start it at once. */
+static gboolean
+must_wait_for_upgrade (const FtNode *node, const FtJobSpec *spec)
+{
+  return spec->awaits != NULL && ft_node_has_older_peer (node, g_get_monotonic_time ());
+}
+
+/* Whether the job can ever run, as far as its submission alone tells. */
+static FtAdmission
+admit (const FtNode *node, const FtJobSpec *spec, const char **why)
+{
+  if (ft_row_open_size (spec) > node->config->core.value_kb * 1024) {
+    *why = "it is too large for a row of the state service: fewer or shorter names are needed";
+    return FT_ADMIT_NEVER;
+  }
+  return ft_admission_check (&node->config->core, node->catalog, spec, why);
+}
+
+static void
+refuse (FtNode *node, FtHttpRequest *request, guint status, json_t *body)
+{
+  ft_metrics_count (node->metrics, FT_COUNT_REFUSED);
+  ft_http_respond (request, status, body);
+}
+
+static void
+put_off (FtNode *node, FtHttpRequest *request)
+{
+  ft_metrics_count (node->metrics, FT_COUNT_UNAVAILABLE);
+  ft_http_unavailable (request);
+}
+
 static void
 submit (FtNode *node, FtHttpRequest *request)
 {
   g_autoptr (FtJobSpec) spec = ft_message_job (ft_http_body (request));
   const char *why;
   if (spec == NULL) {
-    ft_metrics_count (node->metrics, FT_COUNT_REFUSED);
-    ft_http_respond (request, 400, NULL);
+    refuse (node, request, 400, NULL);
     return;
   }
   json_t *known = remembered (node, spec->ref);
@@ -189,27 +258,20 @@
     ft_http_respond (request, 200, known);
     return;
   }
-  switch (ft_admission_check (&node->config->core, node->catalog, spec, &why)) {
-  case FT_ADMIT_NEVER:
+  FtAdmission admission = admit (node, spec, &why);
+  if (admission == FT_ADMIT_NEVER) {
     g_message ("job %s: refused: %s", spec->ref, why);
-    ft_metrics_count (node->metrics, FT_COUNT_REFUSED);
-    ft_http_respond (request, 422, json_pack ("{s:s}", "error", why));
-    return;
-  case FT_ADMIT_NOT_YET:
-    ft_http_unavailable (request);
+    refuse (node, request, 422, json_pack ("{s:s}", "error", why));
     return;
-  case FT_ADMIT:
-    break;
   }
-  if (overloaded (node)) {
-    ft_metrics_count (node->metrics, FT_COUNT_UNAVAILABLE);
-    ft_http_unavailable (request);
+  if (admission == FT_ADMIT_NOT_YET || overloaded (node) || must_wait_for_upgrade (node, spec)) {
+    put_off (node, request);
     return;
   }
   spec->submitted_wall_ms = g_get_real_time () / 1000;
   UserCall *call = user_call_new (node, request, spec->ref);
   call->spec = g_steal_pointer (&spec);
-  create_job (call);
+  ft_needs_check (node, (const char *const *) call->spec->awaits, on_needs_checked, call);
 }
 
 /* ---- withdrawal ---- */
@@ -220,10 +282,10 @@
   UserCall *call = data;
   (void) body;
   if (status == 200) {
-    g_message ("job %s: withdrawn", call->ref);
-    ft_metrics_count (call->node->metrics, FT_COUNT_WITHDRAWN);
+    g_message ("job %s: withdrawn%s", call->ref, call->with_need ? ", since a job that it needs is" : "");
+    ft_metrics_count (call->node->metrics, call->with_need ? FT_COUNT_CANCELLED_WITH_NEED : FT_COUNT_WITHDRAWN);
     ft_node_withdrawn (call->node, call->ref);
-    finish (call, 200, state_body (call->node, call->ref, "cancelled", 0));
+    answer_ended (call, FT_JOB_END_CANCELLED, 0);
   } else if ((status == 409 || status == 0) && ++call->tries < FT_WITHDRAW_TRIES) {
     read_job (call); /* it has changed, perhaps by this very commit */
   } else {
@@ -235,11 +297,12 @@
 withdraw_open (UserCall *call, const FtRow *row, guint tasks)
 {
   g_autofree char *job = ft_key_job (call->ref), *mark = ft_key_withdrawn (call->ref);
+  gint64 wall_ms = g_get_real_time () / 1000;
   json_t *txn = ft_txn_new ();
   ft_txn_if (txn, job, row->stamp);
-  ft_txn_put (txn, job, ft_row_job ("cancelled", tasks));
-  ft_txn_put (txn, mark, ft_row_withdrawn (g_get_real_time () / 1000));
-  ft_state_commit (call->node->state, txn, FT_STATE_COMMIT, on_withdrawn, call);
+  ft_txn_put (txn, job, ft_row_job_ended (FT_JOB_END_CANCELLED, tasks, wall_ms));
+  ft_txn_put (txn, mark, ft_row_withdrawn (wall_ms));
+  ft_state_commit (call->node->state, txn, FT_STATE_CANCEL, on_withdrawn, call);
   json_decref (txn);
 }
 
@@ -252,7 +315,7 @@
   if (result == FT_POLL_CHANGED)
     read_job (call);
   else if (result == FT_POLL_OPEN)
-    finish (call, 200, open_body (call->node, call->ref));
+    answer_open (call);
   else
     finish (call, 503, NULL);
 }
@@ -270,8 +333,7 @@
     return;
   }
   if (!ft_state_contact (node->state, g_get_monotonic_time ())) {
-    ft_metrics_count (node->metrics, FT_COUNT_UNAVAILABLE);
-    ft_http_unavailable (request);
+    put_off (node, request);
     return;
   }
   UserCall *call = user_call_new (node, request, ref);
--- a/src/wire/heartbeat.c
+++ b/src/wire/heartbeat.c
@@ -43,6 +43,8 @@
 ft_heartbeat_body (const FtHeartbeat *beat)
 {
   json_t *body = json_pack ("{s:s}", "member", beat->member);
+  if (beat->knows_needs)
+    json_object_set_new (body, "knows_needs", json_true ());
   if (beat->served)
     json_object_set_new (body, "served_ms_ago", json_integer ((json_int_t) beat->served_ms_ago));
   if (beat->yields)
@@ -125,6 +127,8 @@
     return NULL;
   if (!ft_field_is_null (body, "yields") && !ft_field_bool (body, "yields", &beat->yields))
     return NULL;
+  if (!ft_field_is_null (body, "knows_needs") && !ft_field_bool (body, "knows_needs", &beat->knows_needs))
+    return NULL;
   if (leads && !parse_jobs (beat, json_object_get (body, "jobs")))
     return NULL;
   if (!ft_field_is_null (body, "withdrawn") && !parse_withdrawals (beat, json_object_get (body, "withdrawn")))
--- a/src/wire/heartbeat.h
+++ b/src/wire/heartbeat.h
@@ -12,6 +12,7 @@
 
 typedef struct {
   char *member;           /* the sender */
+  gboolean knows_needs;   /* its version knows of jobs that wait for others */
   gboolean served;        /* the state service has answered it, so long ago: */
   guint64 served_ms_ago;  /* milliseconds */
   gboolean yields;        /* it has given the lease up */
--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -9,9 +9,10 @@
 ft_ref_valid (const char *ref)
 {
   gsize size = strlen (ref);
-  if (!g_str_has_prefix (ref, "req-") || size < 5 || size > FT_TEXT_MOST)
+  gsize prefix = strlen (FT_REF_PREFIX);
+  if (!g_str_has_prefix (ref, FT_REF_PREFIX) || size <= prefix || size > FT_TEXT_MOST)
     return FALSE;
-  for (const char *c = ref + 4; *c != '\0'; c++)
+  for (const char *c = ref + prefix; *c != '\0'; c++)
     if (!g_ascii_isalnum (*c) && *c != '-' && *c != '_')
       return FALSE;
   return TRUE;
@@ -76,6 +77,30 @@
          && (ft_field_is_null (body, "due_s") || ft_field_amount (body, "due_s", 0, FT_AMOUNT_MOST, &spec->deadline_s));
 }
 
+/* The jobs that it needs, each once; none is the same as an empty list. */
+static gboolean
+read_awaits (const json_t *body, FtJobSpec *spec)
+{
+  g_auto (GStrv) named = NULL;
+  if (ft_field_is_null (body, "awaits"))
+    return TRUE;
+  if (!ft_field_texts (body, "awaits", FT_TEXT_MOST, &named))
+    return FALSE;
+  g_autoptr (GPtrArray) needs = g_ptr_array_new_with_free_func (g_free);
+  g_autoptr (GHashTable) seen = g_hash_table_new (g_str_hash, g_str_equal);
+  for (guint i = 0; named[i] != NULL; i++) {
+    if (!ft_ref_valid (named[i]) || strcmp (named[i], spec->ref) == 0)
+      return FALSE;
+    if (g_hash_table_add (seen, named[i]))
+      g_ptr_array_add (needs, g_strdup (named[i]));
+  }
+  if (needs->len == 0)
+    return TRUE;
+  g_ptr_array_add (needs, NULL);
+  spec->awaits = (GStrv) g_ptr_array_free (g_steal_pointer (&needs), FALSE);
+  return TRUE;
+}
+
 FtJobSpec *
 ft_message_job (const json_t *body)
 {
@@ -84,7 +109,7 @@
   if (!json_is_object (body) || !read_texts (body, spec) || !read_amounts (body, spec)
       || !ft_field_count (body, "pieces", 1, FT_JOB_TASKS_MOST, &tasks)
       || !ft_field_bool (body, "one_zone", &spec->one_zone) || !ft_field_bool (body, "apart", &spec->spread)
-      || !ft_field_bool (body, "loaners", &spec->spot))
+      || !ft_field_bool (body, "loaners", &spec->spot) || !read_awaits (body, spec))
     // NOLINTNEXTLINE(clang-analyzer-unix.Malloc): freed by g_auto cleanup, which the analyzer does not follow
     return NULL;
   spec->tasks = (guint) tasks;
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -5,6 +5,9 @@
 
 #include "core/types.h"
 
+/* What each job's ref begins with. */
+#define FT_REF_PREFIX "req-"
+
 gboolean ft_ref_valid (const char *ref);
 
 FtJobSpec *ft_message_job (const json_t *body);
--- a/src/wire/store.c
+++ b/src/wire/store.c
@@ -4,6 +4,7 @@
 
 #include "core/constants.h"
 #include "wire/fields.h"
+#include "wire/messages.h"
 
 /* ---- the service's messages ---- */
 
@@ -211,21 +212,35 @@
 }
 
 json_t *
-ft_row_job (const char *state, guint tasks)
+ft_row_job_open (const FtJobSpec *spec)
 {
-  return json_pack ("{s:s, s:i}", "state", state, "tasks", (int) tasks);
+  json_t *row = json_pack ("{s:s, s:i}", "state", "open", "tasks", (int) spec->tasks);
+  if (spec->awaits != NULL)
+    json_object_set_new (row, "needs", json_true ());
+  return row;
 }
 
-const char *
-ft_row_job_state (const json_t *value, guint *tasks)
+json_t *
+ft_row_job_ended (FtJobEnd end, guint tasks, gint64 wall_ms)
+{
+  return json_pack ("{s:s, s:i, s:I}", "state", end == FT_JOB_END_DONE ? "done" : "cancelled", "tasks", (int) tasks,
+                    "ended_ms", (json_int_t) wall_ms);
+}
+
+gboolean
+ft_row_job_parse (const json_t *value, FtJobRow *out)
 {
-  static const char *const states[] = { "open", "done", "cancelled" };
   const char *state = json_string_value (json_object_get (value, "state"));
-  *tasks = (guint) json_integer_value (json_object_get (value, "tasks"));
-  for (guint i = 0; i < G_N_ELEMENTS (states); i++)
-    if (g_strcmp0 (state, states[i]) == 0)
-      return states[i];
-  return NULL;
+  guint64 tasks, ended_ms = 0;
+  if (state == NULL || !ft_field_count (value, "tasks", 0, FT_JOB_TASKS_MOST, &tasks))
+    return FALSE;
+  ft_field_count (value, "ended_ms", 0, G_MAXINT64, &ended_ms);
+  *out = (FtJobRow){ .open = strcmp (state, "open") == 0,
+                     .has_needs = json_is_true (json_object_get (value, "needs")),
+                     .end = strcmp (state, "done") == 0 ? FT_JOB_END_DONE : FT_JOB_END_CANCELLED,
+                     .tasks = (guint) tasks,
+                     .ended_wall_ms = (gint64) ended_ms };
+  return out->open || out->end == FT_JOB_END_DONE || strcmp (state, "cancelled") == 0;
 }
 
 static json_t *
@@ -239,10 +254,37 @@
   return list;
 }
 
+/* Refs as one text, without their common prefix: a row has to hold hundreds of them. */
+static char *
+pack_refs (GStrv refs)
+{
+  GString *text = g_string_new (NULL);
+  for (guint i = 0; refs[i] != NULL; i++)
+    g_string_append_printf (text, "%s%s", i > 0 ? " " : "", refs[i] + strlen (FT_REF_PREFIX));
+  return g_string_free (text, FALSE);
+}
+
+static gboolean
+unpack_refs (const json_t *value, GStrv *out)
+{
+  if (!json_is_string (value) || json_string_length (value) == 0)
+    return FALSE;
+  g_auto (GStrv) refs = g_strsplit (json_string_value (value), " ", -1);
+  for (guint i = 0; refs[i] != NULL; i++) {
+    char *ref = g_strconcat (FT_REF_PREFIX, refs[i], NULL);
+    g_free (refs[i]);
+    refs[i] = ref;
+    if (!ft_ref_valid (ref))
+      return FALSE;
+  }
+  *out = g_steal_pointer (&refs);
+  return TRUE;
+}
+
 json_t *
 ft_row_open (const FtJobSpec *spec)
 {
-  return json_pack (
+  json_t *row = json_pack (
       "{s:s, s:s, s:i, s:i, s:i, s:f, s:f, s:f, s:s, s:f, s:o, s:s?, s:b, s:b, s:b, s:f, s:f, s:f, s:f, s:I, s:i}",
       "class", spec->job_class, "team", spec->team, "kind", (int) spec->kind, "priority", (int) spec->priority, "tasks",
       (int) spec->tasks, "cpus", spec->cpus, "gpus", spec->gpus, "memory_gb", spec->memory_gb, "image", spec->image,
@@ -250,6 +292,23 @@
       "spread", spec->spread, "spot", spec->spot, "estimate_s", spec->estimate_s, "checkpoint_s", spec->checkpoint_s,
       "save_s", spec->save_s, "deadline_s", spec->deadline_s, "submitted_ms", (json_int_t) spec->submitted_wall_ms,
       "sent", (int) spec->sent);
+  if (spec->awaits == NULL)
+    return row;
+  g_autofree char *awaits = pack_refs (spec->awaits);
+  json_object_set_new (row, "awaits", json_string (awaits));
+  return row;
+}
+
+gsize
+ft_row_open_size (const FtJobSpec *spec)
+{
+  json_t *row = ft_row_open (spec);
+  /* As it is when its mark has been raised. */
+  json_object_set_new (row, "sent", json_integer (FT_JOB_TASKS_MOST));
+  json_object_set_new (row, "stamp", json_integer (G_MAXINT64));
+  gsize size = json_dumpb (row, NULL, 0, 0);
+  json_decref (row);
+  return size;
 }
 
 static gboolean
@@ -301,6 +360,9 @@
   sent = tasks;
   if (!ft_field_is_null (v, "sent") && !ft_field_count (v, "sent", 0, tasks, &sent))
     return NULL;
+  /* A job is never started before those that it needs because they could not be read. */
+  if (!ft_field_is_null (v, "awaits") && !unpack_refs (json_object_get (v, "awaits"), &spec->awaits))
+    return NULL;
   spec->sent = (guint) sent;
   spec->kind = (FtJobKind) kind;
   spec->priority = (FtPriority) priority;
@@ -403,11 +465,11 @@
 /* ---- a leader's batch ---- */
 
 static void
-add_job_done (json_t *txn, const FtWrite *w)
+add_job_done (json_t *txn, const FtWrite *w, gint64 wall_ms)
 {
   g_autofree char *job = ft_key_job (w->name), *open = ft_key_open (w->name), *chunk = key_chunk (w->name, 0);
   ft_txn_if (txn, job, w->stamp);
-  ft_txn_put (txn, job, ft_row_job ("done", w->tasks));
+  ft_txn_put (txn, job, ft_row_job_ended (FT_JOB_END_DONE, w->tasks, wall_ms));
   ft_txn_delete (txn, open);
   if (w->chunk > 0)
     ft_txn_delete (txn, chunk);
@@ -422,6 +484,15 @@
   ft_txn_delete (txn, chunk);
 }
 
+static void
+add_job_cancelled (json_t *txn, const FtWrite *w, gint64 wall_ms)
+{
+  g_autofree char *job = ft_key_job (w->name), *open = ft_key_open (w->name);
+  ft_txn_if (txn, job, w->stamp);
+  ft_txn_put (txn, job, ft_row_job_ended (FT_JOB_END_CANCELLED, w->tasks, wall_ms));
+  ft_txn_delete (txn, open);
+}
+
 static json_t *
 marked_row (const FtWrite *w)
 {
@@ -444,7 +515,7 @@
 }
 
 void
-ft_txn_add_write (json_t *txn, const FtWrite *w)
+ft_txn_add_write (json_t *txn, const FtWrite *w, gint64 wall_ms)
 {
   g_autofree char *key = NULL;
   switch (w->kind) {
@@ -473,11 +544,14 @@
     ft_txn_delete (txn, key);
     break;
   case FT_WRITE_JOB_DONE:
-    add_job_done (txn, w);
+    add_job_done (txn, w, wall_ms);
     break;
   case FT_WRITE_JOB_GONE:
     add_job_gone (txn, w);
     break;
+  case FT_WRITE_JOB_CANCELLED:
+    add_job_cancelled (txn, w, wall_ms);
+    break;
   }
 }
 
@@ -487,7 +561,8 @@
   for (guint i = 0; i < writes->len; i++) {
     const FtWrite *w = g_ptr_array_index (writes, i);
     g_autofree char *key = ft_key_job (w->name);
-    if (w->kind == FT_WRITE_JOB_DONE && ft_store_failed (body, key))
+    gboolean conditional = w->kind == FT_WRITE_JOB_DONE || w->kind == FT_WRITE_JOB_CANCELLED;
+    if (conditional && ft_store_failed (body, key))
       return w->name;
   }
   return NULL;
--- a/src/wire/store.h
+++ b/src/wire/store.h
@@ -5,8 +5,8 @@
  *   l/journal        number of the leader's last batch; every batch is
  *                    conditional on it, so that none can be applied late
  *   j/REF            a job's state: open, done, cancelled; kept for ever
- *   o/REF            an open job as submitted, with the mark of what was sent;
- *                    o/REF/w once it is withdrawn
+ *   o/REF            an open job as submitted, with the jobs that it needs and the mark
+ *                    of what was sent; o/REF/w once it is withdrawn
  *   d/REF/CHUNK      a chunk of an open job's done-set
  *   m/ROW            machines that may have been sent commands
  *   a/NAME           a machine that an operator has drained
@@ -63,13 +63,22 @@
 json_t *ft_row_renewal (guint64 token, gint64 lease_us, gboolean released);
 json_t *ft_row_journal (guint64 token, guint64 batch);
 gboolean ft_row_lease_parse (const GArray *rows, FtLeaseRows *out);
-json_t *ft_row_job (const char *state, guint tasks);
-/* "open", "done", "cancelled" or NULL; static. */
-const char *ft_row_job_state (const json_t *value, guint *tasks);
+/* A job's own row. */
+typedef struct {
+  gboolean open, has_needs; /* has_needs: of an open one */
+  FtJobEnd end;             /* if it is not open */
+  guint tasks;
+  gint64 ended_wall_ms; /* 0: open, or its row is of an older version */
+} FtJobRow;
+json_t *ft_row_job_open (const FtJobSpec *spec);
+json_t *ft_row_job_ended (FtJobEnd end, guint tasks, gint64 wall_ms);
+gboolean ft_row_job_parse (const json_t *value, FtJobRow *out);
 /* The mark of a withdrawal, with the wall time of its commit; 0: it does not say. */
 json_t *ft_row_withdrawn (gint64 wall_ms);
 gint64 ft_row_withdrawn_at (const json_t *value);
 json_t *ft_row_open (const FtJobSpec *spec);
+/* The most bytes of JSON that the job's row takes at any time. */
+gsize ft_row_open_size (const FtJobSpec *spec);
 /* The revision of the job's own row, on which its end is conditional: the index row
  * is written with it, and again whenever the mark is raised. */
 guint64 ft_row_open_stamp (const FtRow *row);
@@ -87,7 +96,7 @@
 /* FALSE if it is no number or choice within the range. */
 gboolean ft_setting_parse (const FtTuningInfo *info, const json_t *value, double *out);
 
-/* Adds the writes of a leader's batch. */
-void ft_txn_add_write (json_t *txn, const FtWrite *write);
+/* Adds a write of a leader's batch, sent at that wall time. */
+void ft_txn_add_write (json_t *txn, const FtWrite *write, gint64 wall_ms);
 /* The job among the writes whose row is named as failed; borrowed, or NULL. */
 const char *ft_store_conflicted_job (const json_t *body, const GPtrArray *writes);
--- a/tests/sim/day.hpp
+++ b/tests/sim/day.hpp
@@ -239,12 +239,11 @@
         text = node->name () + " does not know it";
         ft_scheduler_each_job (
             node->scheduler (),
-            [] (const char *name, const char *, const char *state, guint, guint done, guint running, const char *waits,
-                gpointer data) {
+            [] (const FtJobInfo *job, gpointer data) {
               auto wanted = (std::pair<std::string, std::string *> *) data;
-              if (wanted->first == name)
-                *wanted->second = std::string (state) + ", " + std::to_string (done) + " done, "
-                                  + std::to_string (running) + " running, waits for: " + waits;
+              if (wanted->first == job->ref)
+                *wanted->second = std::string (job->state) + ", " + std::to_string (job->done) + " done, "
+                                  + std::to_string (job->running) + " running, waits for: " + job->why_waiting;
             },
             &sought);
       }
--- a/tests/sim/node.cpp
+++ b/tests/sim/node.cpp
@@ -1,4 +1,6 @@
 // The controllers of the stand-in world: what src/net does in the program.
+#include <gtest/gtest.h>
+
 #include "world.hpp"
 
 extern "C" {
@@ -444,7 +446,7 @@
   ft_txn_if (txn, FT_KEY_JOURNAL, journal_stamp_);
   ft_txn_put (txn, FT_KEY_JOURNAL, ft_row_journal (ft_lease_token (lease_.get ()), batch));
   for (guint i = 0; i < writes->len; i++)
-    ft_txn_add_write (txn, (const FtWrite *) g_ptr_array_index (writes.get (), i));
+    ft_txn_add_write (txn, (const FtWrite *) g_ptr_array_index (writes.get (), i), world_.now / 1000);
   commit (txn, [this, writes, batch, term] (guint status, const json_t *body) {
     if (term != term_)
       return;
@@ -460,12 +462,14 @@
       batch_done (writes, false, found);
       g_autofree char *key = ft_key_job (ref.c_str ());
       auto [code, row] = world_.store.get (key);
-      guint tasks;
-      const char *state = code == 200 ? ft_row_job_state (json_object_get (row, "data"), &tasks) : "open";
-      if (scheduler_ && code == 200 && strcmp (state, "open") == 0)
+      FtJobRow state{};
+      if (code == 200 && !ft_row_job_parse (json_object_get (row, "data"), &state))
+        ADD_FAILURE () << "row of " << ref;
+      if (scheduler_ && code == 200 && state.open)
         world_.checker->misled (ref);
       else if (scheduler_)
-        ft_scheduler_job_resolved (scheduler_.get (), ref.c_str (), strcmp (state, "done") == 0, clock ());
+        ft_scheduler_job_resolved (scheduler_.get (), ref.c_str (), code == 200 && state.end == FT_JOB_END_DONE,
+                                   clock ());
       json_decref (row);
     } else if (status == 503) {
       later (kSecond / 5, [this, term, writes] {
@@ -681,7 +685,7 @@
   std::shared_ptr<json_t> txn (ft_txn_new (), json_decref);
   g_autofree char *key = ft_key_job (ref.c_str ()), *open = ft_key_open (ref.c_str ());
   ft_txn_if (txn.get (), key, 0);
-  ft_txn_put (txn.get (), key, ft_row_job ("open", tasks));
+  ft_txn_put (txn.get (), key, ft_row_job_open (&spec));
   ft_txn_put (txn.get (), open, ft_row_open (&spec));
   auto attempt = std::make_shared<std::function<void ()> > ();
   std::weak_ptr<std::function<void ()> > weak = attempt;
@@ -719,9 +723,11 @@
 {
   g_autofree char *key = ft_key_job (ref.c_str ());
   auto [status, body] = store.get (key);
-  guint tasks;
-  const char *state = status == 200 ? ft_row_job_state (json_object_get (body, "data"), &tasks) : "";
-  checker->told (now, ref, state);
+  FtJobRow state;
+  if (status != 200 || !ft_row_job_parse (json_object_get (body, "data"), &state))
+    checker->told (now, ref, "");
+  else
+    checker->told (now, ref, state.open ? "open" : state.end == FT_JOB_END_DONE ? "done" : "cancelled");
   json_decref (body);
 }
 
@@ -737,11 +743,11 @@
   g_autofree char *key = ft_key_job (ref.c_str ()), *mark = ft_key_withdrawn (ref.c_str ());
   auto [status, body] = store.get (key);
   FtRow row;
-  guint tasks;
-  if (status == 200 && ft_store_row (body, &row) && strcmp (ft_row_job_state (row.value, &tasks), "open") == 0) {
+  FtJobRow state;
+  if (status == 200 && ft_store_row (body, &row) && ft_row_job_parse (row.value, &state) && state.open) {
     json_t *txn = ft_txn_new ();
     ft_txn_if (txn, key, row.stamp);
-    ft_txn_put (txn, key, ft_row_job ("cancelled", tasks));
+    ft_txn_put (txn, key, ft_row_job_ended (FT_JOB_END_CANCELLED, state.tasks, now / 1000));
     ft_txn_put (txn, mark, ft_row_withdrawn (now / 1000));
     std::shared_ptr<json_t> owned (txn, json_decref);
     json_decref (body);
--- a/tests/test_fuzz.cpp
+++ b/tests/test_fuzz.cpp
@@ -89,7 +89,8 @@
       ft_row_machine_parse (s, row);
     if (ft_key_chunk_parse (row->key, &ref, &number) && row->value != nullptr && ft_row_chunk_bits (row->value))
       ft_scheduler_load_done (s, ref, number, ft_row_chunk_bits (row->value));
-    ft_row_job_state (row->value, &number);
+    FtJobRow job_row;
+    ft_row_job_parse (row->value, &job_row);
   }
 }
 
