Pipelines in the stand-in world; a submission that needs a cancelled job is over at once

The checker knows too_early and orphaned, each shown to fail. Random runs have pipelines, late last steps, cancellations in them, nobody leading while jobs are cancelled, and an upgrade from rows and rates of before to 2 KiB, 4 changes a transaction and 28 changes a second.

Its needs, and theirs, are now looked at before it is accepted, by the same walk as for polls, which rests on rows at most half of cancel_s old.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -280,6 +280,8 @@
 /* Share of cancel_s for which a controller tells that a job is open without looking again
  * whether something that it needs was cancelled. */
 #define FT_LINEAGE_FRESH 0.5
+/* Jobs that one request looks at at once. */
+#define FT_LINEAGE_READS_MOST 16
 /* Such readings under way at once. */
 #define FT_NEED_READS_MOST 8
 
--- a/src/net/known_jobs.h
+++ b/src/net/known_jobs.h
@@ -11,7 +11,7 @@
   gboolean has_needs; /* it was submitted with jobs that it needs */
   GStrv needs;        /* NULL: not read yet */
   gboolean needs_met; /* all of them were found done */
-  gint64 checked_at;  /* nothing that it needs had been cancelled before; 0: not checked */
+  gint64 checked_at;  /* until then neither it nor anything that it needs was cancelled; 0: not checked */
 } FtKnownJob;
 
 FtKnownJobs *ft_known_jobs_new (void);
--- a/src/net/user_api.c
+++ b/src/net/user_api.c
@@ -17,6 +17,7 @@
   gboolean withdraw;
   gboolean with_need; /* withdrawn since a job that it needs is */
   guint tries;
+  gint64 as_of; /* until then nothing that a submitted job needs was cancelled; 0: not known */
   gint64 began;
 } UserCall;
 
@@ -97,9 +98,10 @@
 static void read_job (UserCall *call);
 
 static void
-on_lineage (FtLineageResult result, gpointer data)
+on_lineage (FtLineageResult result, const char *ref, gpointer data)
 {
   UserCall *call = data;
+  (void) ref;
   json_t *ended = remembered (call->node, call->ref);
   if (ended != NULL) {
     finish (call, 200, ended); /* found out meanwhile */
@@ -159,15 +161,22 @@
 
 /* ---- submission ---- */
 
+static void
+remember_created (UserCall *call, guint64 stamp)
+{
+  FtKnownJob *job = ft_known_jobs_open (call->node->known, call->ref, stamp, call->spec->awaits != NULL);
+  job->checked_at = call->as_of;
+  g_strfreev (job->needs);
+  job->needs = g_strdupv (call->spec->awaits);
+}
+
 static void
 on_created (guint status, const json_t *body, gpointer data)
 {
   UserCall *call = data;
   guint64 stamp;
-  if (status == 200 && ft_store_revision (body, &stamp)) {
-    FtKnownJob *job = ft_known_jobs_open (call->node->known, call->ref, stamp, call->spec->awaits != NULL);
-    job->needs = g_strdupv (call->spec->awaits);
-  }
+  if (status == 200 && ft_store_revision (body, &stamp))
+    remember_created (call, stamp);
   if (status == 200)
     finish (call, 201, ft_message_job_state (call->ref, "queued", 0, 0, FALSE));
   else if (status == 409 || status == 0)
@@ -189,13 +198,44 @@
 }
 
 static void
-on_needs_checked (FtNeedsResult result, const char *missing, gpointer data)
+on_created_cancelled (guint status, const json_t *body, gpointer data)
+{
+  UserCall *call = data;
+  (void) body;
+  if (status == 200) {
+    g_message ("job %s: accepted as cancelled, since a job that it needs is", call->ref);
+    ft_metrics_count (call->node->metrics, FT_COUNT_CANCELLED_WITH_NEED);
+    ft_known_jobs_ended (call->node->known, call->ref, FT_JOB_END_CANCELLED, call->spec->tasks);
+    finish (call, 201, ended_body (call->ref, FT_JOB_END_CANCELLED, call->spec->tasks));
+  } else if (status == 409 || status == 0) {
+    read_job (call);
+  } else {
+    finish (call, 503, NULL);
+  }
+}
+
+/* Accepted, and over at once: no leader need ever hear of it. */
+static void
+create_cancelled (UserCall *call)
+{
+  g_autofree char *job = ft_key_job (call->ref);
+  json_t *txn = ft_txn_new ();
+  ft_txn_if (txn, job, 0);
+  ft_txn_put (txn, job, ft_row_job_ended (FT_JOB_END_CANCELLED, call->spec->tasks, g_get_real_time () / 1000));
+  ft_state_commit (call->node->state, txn, FT_STATE_COMMIT, on_created_cancelled, call);
+  json_decref (txn);
+}
+
+static void
+on_needs_checked (FtLineageResult result, const char *ref, gpointer data)
 {
   UserCall *call = data;
-  if (result == FT_NEEDS_ACCEPTED) {
+  if (result == FT_LINEAGE_OPEN) {
     create_job (call);
-  } else if (result == FT_NEEDS_MISSING) {
-    g_autofree char *why = g_strdup_printf ("it needs job %s, which was never accepted", missing);
+  } else if (result == FT_LINEAGE_CANCELLED) {
+    create_cancelled (call);
+  } else if (result == FT_LINEAGE_MISSING) {
+    g_autofree char *why = g_strdup_printf ("it needs job %s, which was never accepted", ref);
     g_message ("job %s: refused: %s", call->ref, why);
     finish (call, 422, json_pack ("{s:s}", "error", why));
   } else {
@@ -271,7 +311,9 @@
   spec->submitted_wall_ms = g_get_real_time () / 1000;
   UserCall *call = user_call_new (node, request, spec->ref);
   call->spec = g_steal_pointer (&spec);
-  ft_needs_check (node, (const char *const *) call->spec->awaits, on_needs_checked, call);
+  /* What it needs is found uncancelled no earlier than that. */
+  call->as_of = call->spec->awaits == NULL ? call->began : 0;
+  ft_lineage_check_needs (node, (const char *const *) call->spec->awaits, on_needs_checked, call);
 }
 
 /* ---- withdrawal ---- */
--- a/tests/sim/day.hpp
+++ b/tests/sim/day.hpp
@@ -38,6 +38,84 @@
     }
     world.at (30 * kSecond, [this] { world.poll ("req-999"); });
   }
+  bool
+  accepted (const std::vector<std::string> &needs) const
+  {
+    return std::all_of (needs.begin (), needs.end (), [this] (const std::string &need) {
+      auto it = world.checker->jobs ().find (need);
+      return it != world.checker->jobs ().end () && it->second.accepted;
+    });
+  }
+  bool
+  over (const std::vector<std::string> &needs) const
+  {
+    return accepted (needs) && std::all_of (needs.begin (), needs.end (), [this] (const std::string &need) {
+             return !world.checker->jobs ().at (need).final_told.empty ();
+           });
+  }
+  void
+  poll_until_end (const std::string &ref, Time from, Time every)
+  {
+    for (Time t = from; t < length; t += every)
+      world.at (t, [this, ref] { world.poll (ref); });
+  }
+  // Submits the job once those that it needs are accepted (or over, if `late`), and calls it
+  // off a while later, if `cancel`.
+  void
+  submit_step (Time when, const std::string &ref, std::vector<std::string> needs, guint tasks, bool late, bool cancel)
+  {
+    world.at (when, [this, ref, needs, tasks, late, cancel] {
+      if (late ? !over (needs) : !accepted (needs)) {
+        submit_step (world.now + kSecond / 3, ref, needs, tasks, late, cancel);
+        return;
+      }
+      world.submit (ref, tasks, 1 + world.below (2), world.uniform (2, 15), "red", false, false, true, needs);
+      late_steps += late;
+      poll_until_end (ref, world.now + 4 * kSecond, 7 * kSecond);
+      if (cancel)
+        world.after ((Time) (world.uniform (0.1, 40) * kSecond), [this, ref] { world.withdraw (ref); });
+    });
+  }
+  // Chains with a broad step in them; the first step may need jobs of before, the last may be
+  // submitted when the others are over.
+  void
+  load_pipelines (int count, double cancelled_share, double from_s = 5, double until_s = 100)
+  {
+    for (int i = 0; i < count; i++) {
+      std::string name = "req-8" + std::to_string (i) + "-";
+      Time when = (Time) (world.uniform (from_s, until_s) * kSecond);
+      int called_off = world.chance (cancelled_share) ? world.below (4) : -1;
+      std::vector<std::string> earlier, middle;
+      if (!refs.empty () && world.chance (0.3))
+        earlier.push_back (refs[world.below ((int) refs.size ())]);
+      submit_step (when, name + "0", earlier, (guint) world.below (6) + 1, false, called_off == 0);
+      for (int j = 0; j < 2 + world.below (3); j++) {
+        middle.push_back (name + "1" + std::to_string (j));
+        submit_step (when, middle.back (), { name + "0" }, (guint) world.below (10) + 1, false,
+                     called_off == 1 && j == 0);
+      }
+      submit_step (when, name + "2", middle, (guint) world.below (3) + 1, false, called_off == 2);
+      submit_step (when, name + "3", { name + "2" }, 2, world.chance (0.2), called_off == 3);
+    }
+  }
+  // Controllers of the version before, with the limits of the state service of before, are
+  // ended and come back new one after the other; later the state service has its new limits.
+  void
+  upgrade (Time when, Time every, Time limits)
+  {
+    world.old_settings = world.settings;
+    world.old_settings.value_kb = 8;
+    world.old_settings.txn_ops = 16;
+    for (auto &node : world.nodes)
+      node->old = true;
+    for (int i = 0; i < 3; i++)
+      world.at (when + i * every, [this, i] {
+        world.nodes[i]->old = false;
+        world.nodes[i]->crash (3 * kSecond);
+      });
+    world.at (limits, [this] { world.store.limit (world.settings.value_kb, world.settings.txn_ops, 28); });
+  }
+  guint late_steps = 0; // steps submitted when all before them were over
   // Hundreds of machines, jobs of up to 250 tasks.
   void
   load_large (int jobs)
--- /dev/null
+++ b/tests/test_dependency.cpp
@@ -0,0 +1,418 @@
+// Jobs that wait for others: the graph alone, and one scheduler with it.
+#include "scheduler_harness.hpp"
+
+#include <set>
+
+extern "C" {
+#include "core/dependency.h"
+#include "wire/messages.h"
+#include "wire/store.h"
+}
+
+namespace {
+
+// ---- the graph alone ----
+
+class Graph : public testing::Test {
+protected:
+  std::set<std::string> changed;
+  FtDependencies *graph
+      = ft_dependencies_new ([] (const char *ref, gpointer data) { ((Graph *) data)->changed.insert (ref); }, this);
+  ~Graph () override { ft_dependencies_free (graph); }
+  void
+  add (const std::string &ref, std::vector<std::string> needs = {}, FtUrgency own = { FT_PRIORITY_LOW, 0, 10 * kS },
+       bool cancelled = false)
+  {
+    std::vector<const char *> list;
+    for (const std::string &need : needs)
+      list.push_back (need.c_str ());
+    list.push_back (nullptr);
+    ft_dependencies_add (graph, ref.c_str (), list.data (), cancelled, &own);
+  }
+  void
+  done (const std::string &ref, gint64 at = 5)
+  {
+    ft_dependencies_settled (graph, ref.c_str (), FT_JOB_END_DONE, at);
+  }
+  void
+  cancelled (const std::string &ref)
+  {
+    ft_dependencies_settled (graph, ref.c_str (), FT_JOB_END_CANCELLED, 5);
+  }
+  FtWait
+  wait (const std::string &ref)
+  {
+    return ft_dependencies_wait (graph, ref.c_str ());
+  }
+  const FtUrgency &
+  urgency (const std::string &ref)
+  {
+    return *ft_dependencies_urgency (graph, ref.c_str ());
+  }
+};
+
+TEST_F (Graph, AJobWaitsUntilTheLastOfItsNeedsIsDone)
+{
+  add ("a");
+  add ("b");
+  add ("c", { "a", "b" });
+  EXPECT_EQ (wait ("a"), FT_WAIT_NONE);
+  EXPECT_EQ (wait ("c"), FT_WAIT_OTHERS);
+  done ("a", 7);
+  EXPECT_EQ (wait ("c"), FT_WAIT_OTHERS);
+  changed.clear ();
+  done ("b", 6);
+  EXPECT_EQ (wait ("c"), FT_WAIT_NONE);
+  EXPECT_EQ (changed.count ("c"), 1u);
+  EXPECT_EQ (ft_dependencies_met_at (graph, "c"), 7) << "the last of them counts";
+}
+
+TEST_F (Graph, ADiamondWaitsForBothSidesAndIsCancelledOnce)
+{
+  add ("top");
+  add ("left", { "top" });
+  add ("right", { "top", "top" });
+  add ("bottom", { "left", "right" });
+  done ("top");
+  EXPECT_EQ (wait ("left"), FT_WAIT_NONE);
+  EXPECT_EQ (wait ("right"), FT_WAIT_NONE) << "named twice counts once";
+  done ("left");
+  EXPECT_EQ (wait ("bottom"), FT_WAIT_OTHERS);
+  cancelled ("right");
+  EXPECT_EQ (wait ("bottom"), FT_WAIT_CANCELLED);
+}
+
+// A chain as long as users like: nothing recurses on it.
+TEST_F (Graph, ALongChainIsCancelledWhole)
+{
+  constexpr int kLength = 20000;
+  add ("j0");
+  for (int i = 1; i < kLength; i++)
+    add ("j" + std::to_string (i), { "j" + std::to_string (i - 1) });
+  cancelled ("j0");
+  for (int i = 1; i < kLength; i++)
+    ASSERT_EQ (wait ("j" + std::to_string (i)), FT_WAIT_CANCELLED) << i;
+}
+
+TEST_F (Graph, HundredsNeedOneAndOneNeedsHundreds)
+{
+  std::vector<std::string> all;
+  add ("first");
+  for (int i = 0; i < 400; i++) {
+    all.push_back ("m" + std::to_string (i));
+    add (all.back (), { "first" });
+  }
+  add ("last", all);
+  done ("first");
+  for (const std::string &ref : all) {
+    EXPECT_EQ (wait (ref), FT_WAIT_NONE);
+    EXPECT_EQ (wait ("last"), FT_WAIT_OTHERS);
+    done (ref);
+  }
+  EXPECT_EQ (wait ("last"), FT_WAIT_NONE);
+}
+
+// What comes after a cancelled one is cancelled too, also if it is added later.
+TEST_F (Graph, WhatIsAddedLaterIsCancelledWithWhatItNeeds)
+{
+  add ("a");
+  add ("b", { "a" });
+  cancelled ("a");
+  add ("c", { "b" });
+  EXPECT_EQ (wait ("c"), FT_WAIT_CANCELLED);
+  add ("d", {}, { FT_PRIORITY_LOW, 0, 0 }, true);
+  EXPECT_EQ (wait ("d"), FT_WAIT_CANCELLED);
+}
+
+// Absence proves nothing: a need that nobody knows is to be read, at once, then now and then.
+TEST_F (Graph, AnUnknownNeedIsToBeRead)
+{
+  add ("c", { "a", "b" });
+  std::set<std::string> named;
+  while (const char *ref = ft_dependencies_next_unread (graph, 100, 50))
+    ASSERT_TRUE (named.insert (ref).second);
+  EXPECT_EQ (named, (std::set<std::string>{ "a", "b" }));
+  EXPECT_EQ (ft_dependencies_next_unread (graph, 149, 50), nullptr);
+  add ("a"); // it has come by the watch
+  done ("b");
+  EXPECT_EQ (ft_dependencies_next_unread (graph, 200, 50), nullptr);
+  EXPECT_EQ (wait ("c"), FT_WAIT_OTHERS);
+  add ("e", { "f" });
+  EXPECT_STREQ (ft_dependencies_next_unread (graph, 200, 50), "f") << "a new one does not wait for others' turns";
+}
+
+TEST_F (Graph, AJobIsAsUrgentAsWhatNeedsIt)
+{
+  add ("a");
+  add ("b", { "a" });
+  add ("c", { "b" }, { FT_PRIORITY_HIGH, 100 * kS, 20 * kS });
+  EXPECT_EQ (urgency ("a").priority, FT_PRIORITY_HIGH);
+  EXPECT_EQ (urgency ("b").deadline_at, 80 * kS) << "so that c can still be in time";
+  EXPECT_EQ (urgency ("a").deadline_at, 70 * kS) << "and b before it";
+  add ("d", { "a" }, { FT_PRIORITY_PRODUCTION, 50 * kS, 5 * kS });
+  EXPECT_EQ (urgency ("a").priority, FT_PRIORITY_PRODUCTION);
+  EXPECT_EQ (urgency ("a").deadline_at, 45 * kS);
+  EXPECT_EQ (urgency ("b").priority, FT_PRIORITY_HIGH);
+  cancelled ("d"); // nobody needs it for that any more
+  EXPECT_EQ (urgency ("a").priority, FT_PRIORITY_HIGH);
+  EXPECT_EQ (urgency ("a").deadline_at, 70 * kS);
+}
+
+// ---- a scheduler with it ----
+
+FtJobSpec *
+waiting_spec (const char *ref, std::vector<const char *> needs, guint tasks = 1)
+{
+  FtJobSpec *s = spec (ref, tasks);
+  needs.push_back (nullptr);
+  s->awaits = g_strdupv ((char **) needs.data ());
+  s->sent = 0;
+  s->estimate_s = 10;
+  return s;
+}
+
+struct Pipeline : SchedulerHarness {
+  Pipeline ()
+  {
+    ft_scheduler_loaded (s, 100 * kS);
+    machine_up (100 * kS);
+  }
+  FtJob *
+  add (FtJobSpec *job_spec, gint64 now, guint64 stamp)
+  {
+    std::string ref = job_spec->ref;
+    ft_scheduler_job_added (s, job_spec, stamp, now, now / 1000);
+    return job (ref.c_str ());
+  }
+  // The writes due now, committed or not by the caller.
+  GPtrArray *
+  writes (gint64 now)
+  {
+    return ft_scheduler_next_writes (s, 11, now);
+  }
+  bool
+  has (GPtrArray *list, FtWriteKind kind, const std::string &ref)
+  {
+    for (guint i = 0; i < list->len; i++) {
+      auto w = (const FtWrite *) g_ptr_array_index (list, i);
+      if (w->kind == kind && ref == w->name)
+        return true;
+    }
+    return false;
+  }
+  // Starts and ends the job's only task; its end is reported, not committed.
+  void
+  run_to_its_end (const char *ref, gint64 at, guint64 sequence)
+  {
+    g_autoptr (GArray) first = exchange (at, sequence);
+    write (at); // the mark
+    g_autoptr (GArray) starts = exchange (at + kS, sequence + 1);
+    ASSERT_NE (job (ref)->tasks[0].attempt, nullptr);
+    guint64 attempt = job (ref)->tasks[0].attempt->id;
+    g_autoptr (GArray) none = exchange (at + 2 * kS, sequence + 2,
+                                        { { (char *) ref, 0, attempt, FT_REPORTED_EXITED, FT_WHY_DONE, FALSE } });
+  }
+};
+
+// A report that the last task is done is not enough, nor a write on its way: only the commit is.
+TEST (Waiting, NothingStartsBeforeTheEndOfItsNeedIsCommitted)
+{
+  Pipeline p;
+  p.add (spec ("req-1", 1), 101 * kS, 5);
+  FtJob *second = p.add (waiting_spec ("req-2", { "req-1" }), 101 * kS, 6);
+  p.run_to_its_end ("req-1", 102 * kS, 2);
+  EXPECT_EQ (second->state, FT_JOB_WAITING);
+  g_autoptr (GPtrArray) writes = p.writes (105 * kS);
+  ASSERT_TRUE (p.has (writes, FT_WRITE_JOB_DONE, "req-1"));
+  ft_scheduler_place (p.s, 105 * kS, TRUE);
+  EXPECT_EQ (second->tasks[0].attempt, nullptr);
+  ft_scheduler_unwritten (p.s, writes, nullptr, 105 * kS);
+  EXPECT_EQ (second->state, FT_JOB_WAITING) << "refused: nothing is known to be done";
+  p.write (106 * kS);
+  EXPECT_EQ (second->state, FT_JOB_OPEN);
+  EXPECT_EQ (second->ready_at, 106 * kS);
+  g_autoptr (GArray) answer = p.exchange (107 * kS, 6);
+  EXPECT_NE (second->tasks[0].attempt, nullptr);
+}
+
+TEST (Waiting, CountsNowhereUntilItCanBegin)
+{
+  Pipeline p;
+  p.add (spec ("req-1", 1), 101 * kS, 5);
+  FtJob *waiting = p.add (waiting_spec ("req-2", { "req-1" }, 4), 101 * kS, 6);
+  for (gint64 at = 102; at < 400; at++) {
+    ft_scheduler_tick (p.s, at * kS, TRUE);
+    ASSERT_FALSE (waiting->overlong) << "it does not wait to begin";
+  }
+  EXPECT_FALSE (g_ptr_array_find (p.s->order, waiting, nullptr)) << "neither guarantee nor rentals see it";
+  EXPECT_FALSE (waiting->guaranteed);
+  EXPECT_EQ (waiting->team->unknown_cpus, 0);
+}
+
+// Cancelled with what it needs: on its own revision, once the cancellation is read and not only hinted.
+TEST (Waiting, IsCancelledWithWhatItNeeds)
+{
+  Pipeline p;
+  p.add (spec ("req-1", 1), 101 * kS, 5);
+  p.add (waiting_spec ("req-2", { "req-1" }), 101 * kS, 6);
+  p.add (waiting_spec ("req-3", { "req-2" }), 101 * kS, 7);
+  ft_scheduler_withdrawal_hinted (p.s, "req-1", 102 * kS);
+  g_autoptr (GPtrArray) none = p.writes (102 * kS);
+  EXPECT_FALSE (p.has (none, FT_WRITE_JOB_CANCELLED, "req-2")) << "a hint proves nothing";
+  ft_scheduler_job_withdrawn (p.s, "req-1", 0, 103 * kS);
+  g_autoptr (GPtrArray) writes = p.writes (103 * kS);
+  EXPECT_TRUE (p.has (writes, FT_WRITE_JOB_CANCELLED, "req-2"));
+  EXPECT_TRUE (p.has (writes, FT_WRITE_JOB_CANCELLED, "req-3"));
+  ft_scheduler_written (p.s, writes, 103 * kS);
+  EXPECT_EQ (p.job ("req-2"), nullptr);
+  FtJob *later = p.add (waiting_spec ("req-4", { "req-3" }), 104 * kS, 9);
+  ASSERT_NE (later, nullptr);
+  EXPECT_TRUE (later->needs_cancelled) << "submitted after the cancellation";
+}
+
+// Cancelled by its own user in the same instant: one of the two commits wins.
+TEST (Waiting, ItsOwnUserMayCancelItFirst)
+{
+  Pipeline p;
+  p.add (spec ("req-1", 1), 101 * kS, 5);
+  p.add (waiting_spec ("req-2", { "req-1" }), 101 * kS, 6);
+  ft_scheduler_job_withdrawn (p.s, "req-1", 0, 103 * kS);
+  g_autoptr (GPtrArray) writes = p.writes (103 * kS);
+  ASSERT_TRUE (p.has (writes, FT_WRITE_JOB_CANCELLED, "req-2"));
+  json_t *body = json_pack ("{s:[s]}", "failed", "j/req-2");
+  EXPECT_STREQ (ft_store_conflicted_job (body, writes), "req-2");
+  json_decref (body);
+  ft_scheduler_unwritten (p.s, writes, "req-2", 103 * kS);
+  ft_scheduler_job_resolved (p.s, "req-2", FALSE, 104 * kS);
+  ft_scheduler_job_withdrawn (p.s, "req-2", 0, 104 * kS);
+  g_autoptr (GPtrArray) next = p.writes (104 * kS);
+  EXPECT_TRUE (p.has (next, FT_WRITE_JOB_GONE, "req-2"));
+  EXPECT_FALSE (p.has (next, FT_WRITE_JOB_CANCELLED, "req-2"));
+}
+
+// A new leader does not take a job for done because it is not among the open ones.
+TEST (Waiting, ANewLeaderReadsWhatItDoesNotKnow)
+{
+  SchedulerHarness b;
+  ft_scheduler_load_job (b.s, waiting_spec ("req-2", { "req-1", "req-3" }), 6, 100 * kS, 100000);
+  ft_scheduler_load_job (b.s, spec ("req-3", 1), 5, 100 * kS, 100000);
+  EXPECT_EQ (ft_scheduler_next_unread_job (b.s, 100 * kS), nullptr) << "its pages are not read yet";
+  ft_scheduler_loaded (b.s, 100 * kS);
+  EXPECT_STREQ (ft_scheduler_next_unread_job (b.s, 100 * kS), "req-1");
+  EXPECT_EQ (ft_scheduler_next_unread_job (b.s, 100 * kS), nullptr) << "once, and not the one that is open";
+  EXPECT_EQ (b.job ("req-2")->state, FT_JOB_WAITING);
+  ft_scheduler_job_end_read (b.s, "req-1", FT_JOB_END_DONE, 30 * kS, 101 * kS);
+  EXPECT_EQ (b.job ("req-2")->state, FT_JOB_WAITING);
+  ft_scheduler_job_end_read (b.s, "req-3", FT_JOB_END_DONE, 0, 101 * kS);
+  EXPECT_EQ (b.job ("req-2")->state, FT_JOB_WAITING) << "an open job's end comes by its own write";
+  ft_scheduler_job_withdrawn (b.s, "req-3", 0, 102 * kS);
+  EXPECT_TRUE (b.job ("req-2")->needs_cancelled);
+}
+
+TEST (Waiting, TimesCountFromTheEndOfTheLastNeedAfterATakeoverToo)
+{
+  SchedulerHarness b;
+  FtJobSpec *job = waiting_spec ("req-2", { "req-1" });
+  job->submitted_wall_ms = 10000;
+  job->deadline_s = 200;
+  ft_scheduler_load_job (b.s, job, 6, 100 * kS, 100000);
+  ft_scheduler_loaded (b.s, 100 * kS);
+  ft_scheduler_job_end_read (b.s, "req-1", FT_JOB_END_DONE, 30 * kS, 101 * kS);
+  EXPECT_EQ (b.job ("req-2")->state, FT_JOB_OPEN);
+  EXPECT_EQ (b.job ("req-2")->ready_at, 71 * kS);
+  EXPECT_EQ (b.job ("req-2")->deadline_at, 210 * kS) << "from the submission";
+}
+
+// A raised mark is committed evidence that all needs were done: nothing is read again.
+TEST (Waiting, AJobThatHasStartedNeedsNothingToBeRead)
+{
+  SchedulerHarness b;
+  FtJobSpec *job = waiting_spec ("req-2", { "req-1" }, 4);
+  job->sent = 2;
+  ft_scheduler_load_job (b.s, job, 6, 100 * kS, 100000);
+  ft_scheduler_loaded (b.s, 100 * kS);
+  EXPECT_EQ (b.job ("req-2")->state, FT_JOB_OPEN);
+  EXPECT_EQ (ft_scheduler_next_unread_job (b.s, 100 * kS), nullptr);
+}
+
+TEST (Waiting, AJobRanksWithWhatNeedsIt)
+{
+  Pipeline p;
+  FtJobSpec *low = spec ("req-1", 1);
+  low->priority = FT_PRIORITY_LOW;
+  FtJob *first = p.add (low, 101 * kS, 5);
+  FtJobSpec *high = waiting_spec ("req-2", { "req-1" });
+  high->priority = FT_PRIORITY_HIGH;
+  high->deadline_s = 60;
+  high->submitted_wall_ms = 101000;
+  p.add (high, 101 * kS, 6);
+  EXPECT_EQ (first->priority, FT_PRIORITY_HIGH);
+  EXPECT_GT (first->deadline_at, 0);
+  EXPECT_LT (first->deadline_at, p.job ("req-2")->deadline_at);
+}
+
+// ---- rows and messages ----
+
+TEST (Waiting, ItsNeedsSurviveItsRowAndAreFewBytesEach)
+{
+  g_autoptr (FtJobSpec) job = waiting_spec ("req-1", { "req-000398", "req-000405" });
+  json_t *row = ft_row_open (job);
+  g_autoptr (FtJobSpec) back = ft_row_open_parse ("req-1", row);
+  ASSERT_NE (back, nullptr);
+  EXPECT_TRUE (g_strv_equal ((const char *const *) back->awaits, (const char *const *) job->awaits));
+  json_object_set_new (row, "awaits", json_string ("no/ref"));
+  EXPECT_EQ (ft_row_open_parse ("req-1", row), nullptr) << "never started because its needs cannot be read";
+  json_decref (row);
+  std::vector<std::string> names;
+  std::vector<const char *> many;
+  for (int i = 0; i < 150; i++)
+    names.push_back ("req-" + std::to_string (100000 + i));
+  for (const std::string &name : names)
+    many.push_back (name.c_str ());
+  g_autoptr (FtJobSpec) wide = waiting_spec ("req-1", many);
+  EXPECT_LE (ft_row_open_size (wide), 2048u);
+}
+
+TEST (Waiting, AJobsOwnRowTellsItsEndAndThatItHasNeeds)
+{
+  g_autoptr (FtJobSpec) job = waiting_spec ("req-1", { "req-2" }, 3);
+  FtJobRow state;
+  json_t *open = ft_row_job_open (job), *done = ft_row_job_ended (FT_JOB_END_DONE, 3, 77);
+  ASSERT_TRUE (ft_row_job_parse (open, &state));
+  EXPECT_TRUE (state.open && state.has_needs && state.tasks == 3);
+  ASSERT_TRUE (ft_row_job_parse (done, &state));
+  EXPECT_TRUE (!state.open && state.end == FT_JOB_END_DONE && state.ended_wall_ms == 77);
+  json_object_set_new (done, "state", json_string ("gone"));
+  EXPECT_FALSE (ft_row_job_parse (done, &state));
+  json_decref (open);
+  json_decref (done);
+}
+
+TEST (Waiting, AListOfNeedsIsCheckedWhole)
+{
+  auto job = [] (const char *awaits) {
+    std::string text = R"({"ref":"req-1","lane":"c","crew":"red","shape":"array","urgency":"high","pieces":1,"cores":1.0,
+      "cards":0.0,"mem_gb":1.0,"bundle":"i","pull_gb":1.0,"one_zone":false,"apart":false,"loaners":true,"guess_s":1.0,
+      "bookmark_s":0.0,"shelve_s":0.0,"awaits":)" + std::string (awaits)
+                       + "}";
+    json_t *body = json_loads (text.c_str (), 0, nullptr);
+    FtJobSpec *spec = ft_message_job (body);
+    json_decref (body);
+    return spec;
+  };
+  for (const char *bad : { "7", "\"req-2\"", "{}", "[7]", "[\"job-2\"]", "[\"req-2/1\"]", "[\"req-1\"]", "[null]",
+                           "[\"req-2\",\"\"]", "[\"req-a b\"]" }) {
+    g_autoptr (FtJobSpec) none = job (bad);
+    EXPECT_EQ (none, nullptr) << bad;
+  }
+  for (const char *nothing : { "null", "[]" }) {
+    g_autoptr (FtJobSpec) spec = job (nothing);
+    ASSERT_NE (spec, nullptr) << nothing;
+    EXPECT_EQ (spec->awaits, nullptr);
+  }
+  g_autoptr (FtJobSpec) twice = job ("[\"req-2\",\"req-3\",\"req-2\"]");
+  ASSERT_NE (twice, nullptr);
+  EXPECT_EQ (g_strv_length (twice->awaits), 2u);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/test_pipelines.cpp
@@ -0,0 +1,182 @@
+// Seeded random runs with pipelines, and with upgrades under changed limits of the state service.
+#include <gtest/gtest.h>
+
+#include "day.hpp"
+
+using namespace sim;
+
+namespace {
+
+constexpr int kSeedsPerGroup = 4;
+
+class PipelineRun : public testing::TestWithParam<guint32> {
+protected:
+  // Jobs that were called cancelled although their own users did not ask for it.
+  static guint
+  cancelled_with_need (const Day &day)
+  {
+    guint n = 0;
+    for (const auto &[ref, job] : day.world.checker->jobs ())
+      n += !job.cancel_asked && job.final_told == "cancelled";
+    return n;
+  }
+};
+
+TEST_P (PipelineRun, QuietDay)
+{
+  Day day (GetParam () + 5000);
+  day.load ();
+  day.load_pipelines (10, 0.3);
+  day.finish ();
+  EXPECT_GT (cancelled_with_need (day), 0u) << "no cancellation met a job behind it";
+}
+
+// The leader alone cancels what comes after a cancelled job.
+TEST_P (PipelineRun, TheLeaderCancelsWhatComesAfter)
+{
+  Day day (GetParam () + 5100);
+  day.world.polls_find_cancelled = false;
+  day.load ();
+  day.load_pipelines (10, 0.6);
+  for (int i = 0; i < 4; i++)
+    day.crash ((Time) (day.world.uniform (10, 150) * kSecond), day.world.below (3));
+  day.finish ();
+  EXPECT_GT (cancelled_with_need (day), 0u);
+}
+
+// New leaders in the middle of pipelines: what is done is read from its row, never concluded.
+TEST_P (PipelineRun, ControllersCrash)
+{
+  Day day (GetParam () + 5200);
+  day.world.lost_answers = 0.02;
+  day.world.late_writes = 0.02;
+  day.load ();
+  day.load_pipelines (12, 0.3);
+  for (int i = 0; i < 8; i++)
+    day.crash ((Time) (day.world.uniform (10, 150) * kSecond), day.world.below (3));
+  for (int i = 0; i < 3; i++)
+    day.crash (100 * kSecond, i);
+  day.finish ();
+  EXPECT_GT (day.world.ends_read, 0u) << "no new leader met a job whose need had ended";
+}
+
+// Nobody leads for longer than cancel_s after users have cancelled jobs: polls find out.
+TEST_P (PipelineRun, NobodyLeadsWhileJobsAreCancelled)
+{
+  Day day (GetParam () + 5300);
+  day.load ();
+  day.load_pipelines (12, 0, 40, 58);
+  Time from = 60 * kSecond;
+  day.world.at (from, [&] {
+    // All controllers serve users, none can claim: its claims are lost.
+    for (auto &node : day.world.nodes)
+      node->cannot_claim_until = from + 60 * kSecond;
+    if (Node *leader = day.leader ())
+      leader->crash (kSecond);
+  });
+  day.world.at (from + 2 * kSecond, [&] {
+    guint n = 0;
+    for (const auto &[ref, job] : day.world.checker->jobs ())
+      if (n < 6 && ref.rfind ("req-8", 0) == 0 && job.accepted && job.final_told.empty () && job.tasks > 2) {
+        day.world.after ((Time) (day.world.uniform (0, 2) * kSecond), [&day, ref = ref] { day.world.withdraw (ref); });
+        n++;
+      }
+  });
+  day.finish ();
+  EXPECT_GT (day.world.cancelled_by_poll, 0u);
+}
+
+TEST_P (PipelineRun, EverythingAtOnce)
+{
+  Day day (GetParam () + 5400);
+  day.world.loss = 0.02;
+  day.world.late = 0.02;
+  day.world.copies = 0.05;
+  day.load ();
+  day.load_pipelines (12, 0.4);
+  for (int i = 0; i < 5; i++) {
+    Time when = (Time) (day.world.uniform (15, 150) * kSecond);
+    day.crash (when, day.world.below (3));
+    day.machine_trouble (when + (Time) (day.world.uniform (-2, 2) * kSecond));
+    day.cut_node ((Time) (day.world.uniform (15, 140) * kSecond), day.world.below (3), day.world.chance (0.5));
+  }
+  day.outage (90 * kSecond, 15 * kSecond);
+  day.finish ();
+}
+
+// Large rows of before are read and split under the new limits; nothing is refused for its size.
+TEST_P (PipelineRun, UpgradeAndNewLimits)
+{
+  Day day (GetParam () + 5500, 4);
+  day.world.settings.value_kb = 2;
+  day.world.settings.txn_ops = 4;
+  day.world.settings.state_write_rps = 28;
+  day.upgrade (50 * kSecond, 12 * kSecond, 95 * kSecond);
+  day.load ();
+  day.load_long (12, 20, 30);
+  day.load_pipelines (10, 0.3, 85, 140);
+  day.crash (110 * kSecond, day.world.below (3));
+  for (int i = 0; i < 4; i++)
+    day.machine_trouble ((Time) (day.world.uniform (60, 140) * kSecond));
+  day.outage (130 * kSecond, 10 * kSecond);
+  day.finish ();
+  EXPECT_EQ (day.world.store.too_large, 0u);
+  EXPECT_GT (day.world.machine_count, 16u) << "one row of before held them all";
+}
+
+INSTANTIATE_TEST_SUITE_P (Seeds, PipelineRun, testing::Range<guint32> (1, 1 + kSeedsPerGroup));
+
+// ---- the checker can fail ----
+
+class PipelineCheckerFails : public testing::Test {
+protected:
+  Checker checker{ { { "red", 8 } }, 10 * kSecond };
+  void
+  SetUp () override
+  {
+    Checker::Job job;
+    job.team = "red";
+    job.tasks = 1;
+    checker.submitted ("req-1", job);
+    job.needs = { "req-1" };
+    checker.submitted ("req-2", job);
+    job.needs = { "req-2" };
+    checker.submitted ("req-3", job);
+  }
+  bool
+  broken (const std::string &rule)
+  {
+    const auto &all = checker.broken ();
+    return std::any_of (all.begin (), all.end (), [&] (const std::string &s) { return s.rfind (rule, 0) == 0; });
+  }
+};
+
+TEST_F (PipelineCheckerFails, TooEarly)
+{
+  checker.finished (0, "req-1", 0);
+  checker.on (0, "req-2", 0, { "m1", "a", true });
+  EXPECT_TRUE (checker.broken ().empty ());
+  checker.on (0, "req-3", 0, { "m1", "a", true });
+  EXPECT_TRUE (broken ("too_early"));
+}
+
+TEST_F (PipelineCheckerFails, Orphaned)
+{
+  checker.cancel_asked ("req-1");
+  checker.told (kSecond, "req-1", "cancelled");
+  checker.told (11 * kSecond, "req-3", "open");
+  EXPECT_TRUE (checker.broken ().empty ());
+  checker.told (11 * kSecond + 1, "req-3", "open");
+  EXPECT_TRUE (broken ("orphaned"));
+}
+
+TEST_F (PipelineCheckerFails, CancelledThoughNothingBeforeItWasAskedFor)
+{
+  checker.cancel_asked ("req-2");
+  checker.told (0, "req-3", "cancelled");
+  EXPECT_TRUE (checker.broken ().empty ());
+  checker.told (0, "req-1", "cancelled");
+  EXPECT_TRUE (broken ("went_back"));
+}
+
+} // namespace
