--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -300,6 +300,9 @@
  * changes that done-sets may take: with many jobs under way each is written less often. */
 #define FT_CHUNK_EVERY_S 3.0
 #define FT_CHUNK_WRITE_SHARE 0.25
+/* Chunks of done-sets in a batch while less than this share of a second's changes is unused. */
+#define FT_CHUNKS_WITHOUT_SPARE 1
+#define FT_SPARE_WRITES_SHARE 0.6
 /* Tasks of one job (protocol). */
 #define FT_JOB_TASKS_MOST 100000
 /* Unfinished tasks held in memory before submissions are put off. */
--- a/src/core/journal.c
+++ b/src/core/journal.c
@@ -128,25 +128,28 @@
   return MAX (FT_CHUNK_EVERY_S, rate > 0 ? g_queue_get_length ((GQueue *) &s->touched) / rate : 0);
 }
 
-static void
-add_chunks (FtScheduler *s, FtJob *job, Batch *batch)
+/* Adds at most that many; how many are left to add. */
+static guint
+add_chunks (FtScheduler *s, FtJob *job, Batch *batch, guint most)
 {
   /* A result stays with its worker until it is committed: a chunk that waits a
    * little covers many, and the end of the job covers all. */
   if (job->state != FT_JOB_OPEN || s->now < job->chunk_at || g_hash_table_size (job->dirty) == 0)
-    return;
+    return most;
   GHashTableIter it;
   gpointer key;
   g_hash_table_iter_init (&it, job->dirty);
-  while (batch->left > 0 && g_hash_table_iter_next (&it, &key, NULL)) {
+  while (batch->left > 0 && most > 0 && g_hash_table_iter_next (&it, &key, NULL)) {
     FtWrite *write = write_new (FT_WRITE_CHUNK, job->spec->ref);
     write->chunk = GPOINTER_TO_UINT (key);
     write->bits = ft_job_chunk_bits (job, write->chunk);
     write->stamp = job->stamp;
     if (batch_add (batch, write))
       g_hash_table_iter_remove (&it);
+    most--;
   }
   job->chunk_at = s->now + (gint64) (chunk_every_s (s) * FT_SECOND);
+  return most;
 }
 
 /* Nothing of it was ever placed: what it needs was never all done. */
@@ -195,7 +198,7 @@
 }
 
 GPtrArray *
-ft_scheduler_next_writes (FtScheduler *s, guint ops, gint64 now)
+ft_scheduler_next_writes (FtScheduler *s, guint ops, gboolean spare, gint64 now)
 {
   s->now = now;
   Batch batch = { g_ptr_array_new_with_free_func ((GDestroyNotify) ft_write_free), ops };
@@ -209,10 +212,12 @@
   for (GList *l = s->touched.head; l != NULL && batch.left > 0; l = l->next)
     if (wants_mark (l->data))
       add_mark (l->data, &batch);
-  for (GList *l = s->touched.head; l != NULL && batch.left > 0; l = l->next) {
+  /* Without spare changes each chunk would hold up the ends and marks of the next batch. */
+  guint chunks = spare ? G_MAXUINT : FT_CHUNKS_WITHOUT_SPARE;
+  for (GList *l = s->touched.head; l != NULL && batch.left > 0 && chunks > 0; l = l->next) {
     const FtJob *job = l->data;
     if (!job->final_in_flight && !job->conflicted && !job_ends (job))
-      add_chunks (s, l->data, &batch);
+      chunks = add_chunks (s, l->data, &batch, chunks);
   }
   s->looked_at += g_queue_get_length (&s->touched);
   keep_touched (s);
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -112,9 +112,10 @@
 } FtWrite;
 void ft_write_free (FtWrite *write);
 guint ft_write_ops (const FtWrite *write);
-/* Writes for one transaction of at most `ops` changes; empty if none is due.
+/* Writes for one transaction of at most `ops` changes; empty if none is due. `spare`: the state
+ * service takes more changes than are urgent, so that what can wait may go as well.
  * Each batch ends with one of the two calls below before the next is asked for. */
-GPtrArray *ft_scheduler_next_writes (FtScheduler *s, guint ops, gint64 now);
+GPtrArray *ft_scheduler_next_writes (FtScheduler *s, guint ops, gboolean spare, gint64 now);
 void ft_scheduler_written (FtScheduler *s, GPtrArray *writes, gint64 now);
 /* `conflicted` names the job whose row has changed, or is NULL: try again. */
 void ft_scheduler_unwritten (FtScheduler *s, GPtrArray *writes, const char *conflicted, gint64 now);
--- a/src/net/leader.c
+++ b/src/net/leader.c
@@ -402,7 +402,8 @@
 {
   if (node->batch_in_flight || now < node->next_batch)
     return;
-  GPtrArray *writes = ft_scheduler_next_writes (node->scheduler, node->batch_ops_most - 1, now);
+  GPtrArray *writes
+      = ft_scheduler_next_writes (node->scheduler, node->batch_ops_most - 1, ft_state_spare_writes (node->state), now);
   if (writes->len == 0) {
     g_ptr_array_unref (writes);
     return;
--- a/src/net/state_client.c
+++ b/src/net/state_client.c
@@ -246,6 +246,13 @@
   return state->writes_waiting > 0 ? (state->writes_waiting - state->writes.level) / state->writes.rate : 0;
 }
 
+gboolean
+ft_state_spare_writes (FtState *state)
+{
+  double least = state->writes.burst * FT_SPARE_WRITES_SHARE;
+  return state->writes_waiting == 0 && ft_budget_has (&state->writes, least, g_get_monotonic_time ());
+}
+
 gint64
 ft_state_failing_since (const FtState *state)
 {
--- a/src/net/state_client.h
+++ b/src/net/state_client.h
@@ -31,6 +31,8 @@
 gint64 ft_state_failing_since (const FtState *state);
 /* Requests waiting for the budget. */
 guint ft_state_queued (const FtState *state);
+/* Whether the budget for changes is mostly unused. */
+gboolean ft_state_spare_writes (FtState *state);
 /* Seconds until the changes that wait now have been sent, within the budget. */
 double ft_state_write_wait_s (const FtState *state);
 /* When the service last served us; 0: never. */
--- a/tests/scheduler_harness.hpp
+++ b/tests/scheduler_harness.hpp
@@ -68,7 +68,7 @@
   void
   write (gint64 now)
   {
-    g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (s, 11, now);
+    g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (s, 11, TRUE, now);
     ft_scheduler_written (s, writes, now);
   }
   // A machine that is up, in the roster and has seen the token.
--- a/tests/sim/node.cpp
+++ b/tests/sim/node.cpp
@@ -439,7 +439,8 @@
   if (batching_)
     return;
   std::shared_ptr<GPtrArray> writes (
-      ft_scheduler_next_writes (scheduler_.get (), (old ? world_.old_settings : world_.settings).txn_ops - 1, clock ()),
+      ft_scheduler_next_writes (scheduler_.get (), (old ? world_.old_settings : world_.settings).txn_ops - 1,
+                                world_.chance (0.5), clock ()),
       g_ptr_array_unref);
   if (writes->len == 0)
     return;
--- a/tests/test_dependency.cpp
+++ b/tests/test_dependency.cpp
@@ -188,7 +188,7 @@
   GPtrArray *
   writes (gint64 now)
   {
-    return ft_scheduler_next_writes (s, 11, now);
+    return ft_scheduler_next_writes (s, 11, TRUE, now);
   }
   bool
   has (GPtrArray *list, FtWriteKind kind, const std::string &ref)
--- /dev/null
+++ b/tests/test_journal.cpp
@@ -0,0 +1,44 @@
+// What the leader writes, and in which order.
+#include "scheduler_harness.hpp"
+
+namespace {
+
+// Chunks of done-sets due for each of three jobs.
+struct ThreeJobsPartlyDone : SchedulerHarness {
+  ThreeJobsPartlyDone ()
+  {
+    ft_scheduler_loaded (s, 100 * kS);
+    machine_up (100 * kS);
+    guint64 sequence = 2;
+    for (const char *ref : { "req-1", "req-2", "req-3" })
+      ft_scheduler_job_added (s, spec (ref, 2), 5, 101 * kS, 0);
+    g_autoptr (GArray) starts = exchange (102 * kS, sequence++);
+    std::vector<FtReportedTask> ended;
+    for (const char *ref : { "req-1", "req-2", "req-3" })
+      if (const FtAttempt *attempt = job (ref)->tasks[0].attempt)
+        ended.push_back ({ (char *) ref, 0, attempt->id, FT_REPORTED_EXITED, FT_WHY_DONE, FALSE });
+    g_autoptr (GArray) none = exchange (103 * kS, sequence++, ended);
+  }
+  guint
+  chunks (gboolean spare)
+  {
+    g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (s, 11, spare, 110 * kS);
+    guint n = 0;
+    for (guint i = 0; i < writes->len; i++)
+      n += ((const FtWrite *) g_ptr_array_index (writes, i))->kind == FT_WRITE_CHUNK;
+    ft_scheduler_written (s, writes, 110 * kS);
+    return n;
+  }
+};
+
+// Done-sets of many jobs took the changes that the ends of jobs and new starts waited for.
+TEST (Journal, DoneSetsLeaveTheChangesToWhatIsUrgentWhileNoneAreSpare)
+{
+  ThreeJobsPartlyDone b;
+  EXPECT_EQ (b.chunks (FALSE), (guint) FT_CHUNKS_WITHOUT_SPARE);
+  EXPECT_EQ (b.chunks (FALSE), (guint) FT_CHUNKS_WITHOUT_SPARE) << "each batch takes some, so none waits for ever";
+  EXPECT_EQ (b.chunks (TRUE), 3u - 2u * FT_CHUNKS_WITHOUT_SPARE);
+  EXPECT_EQ (b.chunks (TRUE), 0u);
+}
+
+} // namespace
--- a/tests/test_roster.cpp
+++ b/tests/test_roster.cpp
@@ -17,7 +17,7 @@
   ft_scheduler_loaded (b.s, 100 * kS);
   auto rows = [&] (gint64 now) {
     std::string text;
-    g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (b.s, 11, now);
+    g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (b.s, 11, TRUE, now);
     for (guint i = 0; i < writes->len; i++) {
       auto w = (FtWrite *) g_ptr_array_index (writes, i);
       text += std::string (w->kind == FT_WRITE_ROSTER ? "put " : "drop ") + w->name;
@@ -52,7 +52,7 @@
     r->machine = g_strdup_printf ("n-%06d", i);
     ft_scheduler_report (b.s, r, 100 * kS);
   }
-  g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (b.s, 11, 100 * kS);
+  g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (b.s, 11, TRUE, 100 * kS);
   ASSERT_EQ (writes->len, 1u);
   EXPECT_EQ (((FtWrite *) g_ptr_array_index (writes, 0))->machines->len, 50u);
   ft_scheduler_written (b.s, writes, 100 * kS);
@@ -94,7 +94,7 @@
   commit_all (gint64 now)
   {
     for (;;) {
-      g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (b.s, 3, now);
+      g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (b.s, 3, TRUE, now);
       if (writes->len == 0)
         return;
       ASSERT_LT (batches++, 100u) << "it does not come to an end";
@@ -144,7 +144,7 @@
 
 TEST_F (SplitRow, StaysWhileNothingOfItChanges)
 {
-  g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (b.s, 3, 200 * kS);
+  g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (b.s, 3, TRUE, 200 * kS);
   EXPECT_EQ (writes->len, 0u);
 }
 
@@ -171,7 +171,7 @@
   for (guint i = 0; i < kMachines; i++)
     stored["old-0"].insert (name (i));
   lose (17);
-  g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (b.s, 3, 110 * kS);
+  g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (b.s, 3, TRUE, 110 * kS);
   ASSERT_GT (writes->len, 0u);
   ft_scheduler_unwritten (b.s, writes, nullptr, 110 * kS);
   for (guint i = 20; i < 40; i++)
@@ -189,7 +189,7 @@
   for (const char *row : { "7-0", "old-0" })
     ft_scheduler_load_machine (again.s, row, "n-1", "10.1.0.1:9000", "std", "a", FALSE);
   ft_scheduler_loaded (again.s, 100 * kS);
-  g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (again.s, 3, 110 * kS);
+  g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (again.s, 3, TRUE, 110 * kS);
   ASSERT_EQ (writes->len, 1u);
   auto write = (const FtWrite *) g_ptr_array_index (writes, 0);
   EXPECT_EQ (write->kind, FT_WRITE_ROSTER_DROP);
@@ -230,7 +230,7 @@
     ASSERT_TRUE (ft_scheduler_report (b.s, r, 102 * kS));
   }
   for (int batch = 0; batch < 2; batch++) {
-    g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (b.s, 3, 103 * kS);
+    g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (b.s, 3, TRUE, 103 * kS);
     ft_scheduler_written (b.s, writes, 103 * kS);
   }
   EXPECT_EQ (b.job ("req-1"), nullptr) << "its end waited for the roster";
--- a/tests/test_units.cpp
+++ b/tests/test_units.cpp
@@ -441,7 +441,7 @@
   ft_scheduler_report (b.s, r, at);
   g_autoptr (GArray) commands = ft_scheduler_answer (b.s, r, at);
   EXPECT_EQ (ft_scheduler_next_direct (b.s, at), nullptr);
-  g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (b.s, 11, at);
+  g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (b.s, 11, TRUE, at);
   ft_scheduler_written (b.s, writes, at);
   EXPECT_LE (ft_scheduler_looked_at (b.s) - before, 64u);
   // A pass over a full fleet looks at each machine and job a few times at most.
@@ -478,7 +478,7 @@
   ft_scheduler_loaded (b.s, 100 * kS);
   ft_scheduler_job_added (b.s, spec ("req-1", 2), 5, 100 * kS, 0);
   auto ends = [&] (gint64 at) {
-    g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (b.s, 11, at);
+    g_autoptr (GPtrArray) writes = ft_scheduler_next_writes (b.s, 11, TRUE, at);
     guint n = 0;
     for (guint i = 0; i < writes->len; i++)
       n += ((FtWrite *) g_ptr_array_index (writes, i))->kind == FT_WRITE_JOB_GONE;
