--- /dev/null
+++ b/src/core/commands.c
@@ -0,0 +1,230 @@
+/* What workers are told: commands in the answers to their reports, and directly. */
+#include "core/model.h"
+
+static void
+add_command (GArray *commands, FtCommandOp op, const FtAttempt *a)
+{
+  FtCommand c = { .op = op, .job = g_strdup (a->job_ref), .index = a->index, .attempt = a->id, .grace_s = a->grace_s };
+  g_array_append_val (commands, c);
+}
+
+static gboolean
+wants_start (const FtScheduler *s, const FtMachine *machine, const FtAttempt *a)
+{
+  return s->may_start && machine->in_roster && a->bound && a->index < a->job->spec->sent && !a->shown && !a->exited
+         && !a->stop_wanted && machine->state != FT_MACHINE_RETURNING && a->job->state == FT_JOB_OPEN;
+}
+
+/* A copy of a direct start may come late. While the worker knows the attempt it
+ * does nothing; forgotten, it would start the task anew: beside another attempt,
+ * or, if it is done, beyond the team's limit for a moment. */
+static gboolean
+may_forget (const FtScheduler *s, const FtAttempt *a)
+{
+  if (!a->exited || !a->forget_ok || a->direct_unanswered || a->direct_in_flight)
+    return FALSE;
+  return !a->by_direct || s->now - a->exited_at > ft_seconds (FT_COPY_LEASES * s->settings->lease_s);
+}
+
+void
+ft_scheduler_allow (FtScheduler *s, gboolean may_start)
+{
+  s->may_start = may_start;
+}
+
+GArray *
+ft_scheduler_answer (FtScheduler *s, const FtReport *report, gint64 now)
+{
+  GArray *commands = ft_commands_new ();
+  FtMachine *machine = g_hash_table_lookup (s->machines, report->machine);
+  s->now = now;
+  if (machine == NULL)
+    return commands;
+  machine->last_answer = now;
+  /* It shows our token in its next report, in half a second. */
+  if (!machine->accounted)
+    machine->probe_at = MAX (machine->probe_at, now + ft_seconds (FT_PROBE_FIRST_S));
+  if (report->session != machine->session || report->sequence != machine->sequence || report->token < s->token
+      || machine->session <= machine->lapsed_session) {
+    if (report->session == machine->session)
+      machine->answered = MAX (machine->answered, report->sequence);
+    return commands;
+  }
+  machine->answered = report->sequence;
+  /* What the report has freed is filled by this very answer. */
+  ft_placement_fill (s, machine);
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, machine->attempts);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    FtAttempt *a = value;
+    if (a->stop_wanted && a->shown && !a->exited)
+      add_command (commands, FT_COMMAND_STOP, a);
+    else if (s->may_start && may_forget (s, a))
+      add_command (commands, FT_COMMAND_FORGET, a);
+  }
+  g_hash_table_iter_init (&it, machine->attempts);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    FtAttempt *a = value;
+    if (!wants_start (s, machine, a))
+      continue;
+    a->sent_sequence = report->sequence;
+    add_command (commands, FT_COMMAND_START, a);
+  }
+  return commands;
+}
+
+/* ---- direct commands ---- */
+
+void
+ft_direct_free (FtDirect *direct)
+{
+  if (direct == NULL)
+    return;
+  g_free (direct->machine);
+  g_free (direct->addr);
+  if (direct->commands != NULL)
+    g_array_unref (direct->commands);
+  g_free (direct);
+}
+
+static FtDirect *
+direct_new (FtMachine *machine, GArray *commands)
+{
+  FtDirect *direct = g_new0 (FtDirect, 1);
+  direct->machine = g_strdup (machine->name);
+  direct->addr = g_strdup (machine->addr);
+  direct->session = machine->session;
+  direct->commands = commands;
+  machine->command_in_flight = TRUE;
+  return direct;
+}
+
+gint64
+ft_machine_silent_since (const FtScheduler *s, const FtMachine *machine)
+{
+  return MAX (machine->last_report, s->hearing_since);
+}
+
+gboolean
+ft_machine_report_overdue (const FtScheduler *s, const FtMachine *machine)
+{
+  return s->now - ft_machine_silent_since (s, machine) > ft_machine_overdue_us (s);
+}
+
+gboolean
+ft_machine_wants_probe (const FtScheduler *s, const FtMachine *machine)
+{
+  gboolean ask = !machine->accounted || ft_machine_deaf (machine)
+                 || (machine->state == FT_MACHINE_UP && ft_machine_report_overdue (s, machine));
+  return ask && s->now >= machine->probe_at && machine->addr != NULL && !machine->command_in_flight
+         && machine->state != FT_MACHINE_GONE;
+}
+
+static FtDirect *
+probe (FtScheduler *s, FtMachine *machine)
+{
+  guint pause = 1u << MIN (machine->probe_fails, FT_PROBE_DOUBLINGS);
+  machine->probe_at = s->now + (gint64) (FT_PROBE_EVERY_S * pause * FT_SECOND);
+  s->probes_in_flight++;
+  return direct_new (machine, ft_commands_new ());
+}
+
+static FtDirect *
+direct_to (FtScheduler *s, FtMachine *machine)
+{
+  if (machine->command_in_flight || machine->addr == NULL)
+    return NULL;
+  if (machine->state != FT_MACHINE_UP || !machine->accounted || machine->session <= machine->lapsed_session)
+    return NULL;
+  GArray *commands = ft_commands_new ();
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, machine->attempts);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    FtAttempt *a = value;
+    if (a->stop_wanted && a->shown && !a->exited && !a->stop_sent) {
+      a->stop_sent = TRUE;
+      add_command (commands, FT_COMMAND_STOP, a);
+    } else if (ft_machine_usable (s, machine) && wants_start (s, machine, a) && a->sent_sequence == 0
+               && !a->direct_unanswered) {
+      a->direct_in_flight = a->by_direct = TRUE;
+      add_command (commands, FT_COMMAND_START, a);
+    }
+  }
+  if (commands->len > 0)
+    return direct_new (machine, commands);
+  g_array_unref (commands);
+  return NULL;
+}
+
+FtDirect *
+ft_scheduler_next_direct (FtScheduler *s, gint64 now)
+{
+  s->now = now;
+  FtMachine *machine;
+  while ((machine = g_queue_pop_head (&s->directs)) != NULL) {
+    machine->direct_queued = FALSE;
+    s->looked_at++;
+    FtDirect *direct = direct_to (s, machine);
+    if (direct != NULL)
+      return direct;
+  }
+  /* Those that do not answer keep their place for long: commands go first, and
+   * only so many are asked at a time. */
+  while (s->probes_in_flight < FT_PROBES_MOST && (machine = g_queue_pop_head (&s->probes)) != NULL) {
+    machine->probe_queued = FALSE;
+    s->looked_at++;
+    if (ft_machine_wants_probe (s, machine))
+      return probe (s, machine);
+  }
+  return NULL;
+}
+
+static void
+settle_direct (FtScheduler *s, FtMachine *machine, const FtDirect *direct, FtDirectResult result)
+{
+  for (guint i = 0; i < direct->commands->len; i++) {
+    const FtCommand *c = &g_array_index (direct->commands, FtCommand, i);
+    FtAttempt *a = ft_machine_attempt (machine, c->job, c->index, c->attempt);
+    if (a == NULL || c->op != FT_COMMAND_START)
+      continue;
+    a->direct_in_flight = FALSE;
+    if (result == FT_DIRECT_UNANSWERED && a->session == direct->session)
+      a->direct_unanswered = machine->in_doubt = TRUE;
+    /* Refused as a whole: this copy was not executed and never will be. */
+    if (result == FT_DIRECT_CONFLICT && a->stop_wanted && !a->shown && a->sent_sequence == 0 && !a->exited)
+      ft_attempt_over (s, a);
+  }
+}
+
+gboolean
+ft_scheduler_direct_done (FtScheduler *s, const FtDirect *direct, FtDirectResult result, const FtReport *report,
+                          gint64 now)
+{
+  s->now = now;
+  FtMachine *machine = g_hash_table_lookup (s->machines, direct->machine);
+  if (direct->commands->len == 0)
+    s->probes_in_flight--;
+  if (report != NULL && report->token > s->token)
+    return FALSE;
+  if (machine == NULL)
+    return TRUE;
+  machine->command_in_flight = FALSE;
+  ft_machine_queue_direct (machine); /* what has come up meanwhile */
+  if (result == FT_DIRECT_UNANSWERED
+      && (ft_machine_report_overdue (s, machine) || !machine->accounted || ft_machine_deaf (machine)))
+    machine->probe_fails++;
+  settle_direct (s, machine, direct, result);
+  if (report == NULL || g_strcmp0 (report->machine, machine->name) != 0)
+    return TRUE;
+  if (machine->state != FT_MACHINE_RETURNING || !machine->accounted)
+    ft_machine_apply_report (s, machine, report, FALSE);
+  /* Refused for its session: ask again at once with the right one. */
+  if (result == FT_DIRECT_CONFLICT && !machine->accounted) {
+    machine->probe_at = now;
+    ft_machine_queue_probe (machine);
+  }
+  ft_recovery_tick (s);
+  return TRUE;
+}
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -94,6 +94,21 @@
   return (job->spec->tasks + FT_DONE_CHUNK - 1) / FT_DONE_CHUNK;
 }
 
+GArray *
+ft_job_chunk_tasks (const FtJob *job, guint chunk, const char *bits)
+{
+  GArray *tasks = g_array_new (FALSE, FALSE, sizeof (guint));
+  gsize size = 0;
+  g_autofree guchar *data = g_base64_decode (bits, &size);
+  guint first = chunk * FT_DONE_CHUNK;
+  for (guint i = 0; i < FT_DONE_CHUNK && i / 8 < size && first + i < job->spec->tasks; i++) {
+    guint index = first + i;
+    if (data[i / 8] & (1u << (i % 8)))
+      g_array_append_val (tasks, index);
+  }
+  return tasks;
+}
+
 /* The finished tasks of a chunk as a bitmap in base64. */
 char *
 ft_job_chunk_bits (const FtJob *job, guint chunk)
--- a/src/core/journal.c
+++ b/src/core/journal.c
@@ -26,8 +26,8 @@
   }
 }
 
-static FtWrite *
-write_new (FtWriteKind kind, const char *name)
+FtWrite *
+ft_write_new (FtWriteKind kind, const char *name)
 {
   FtWrite *write = g_new0 (FtWrite, 1);
   write->kind = kind;
@@ -71,7 +71,7 @@
   s->wrote_roster = batch->writes->len > before;
   while (batch->left > 0 && !g_queue_is_empty (&s->marks_drop)) {
     g_autofree char *name = g_queue_pop_head (&s->marks_drop);
-    batch_add (batch, write_new (FT_WRITE_MARK_DROP, name));
+    batch_add (batch, ft_write_new (FT_WRITE_MARK_DROP, name));
   }
 }
 
@@ -100,7 +100,7 @@
 static void
 add_mark (FtJob *job, Batch *batch)
 {
-  FtWrite *write = write_new (FT_WRITE_SENT, job->spec->ref);
+  FtWrite *write = ft_write_new (FT_WRITE_SENT, job->spec->ref);
   write->sent = job->sent_wanted;
   write->spec = job->spec;
   write->stamp = job->stamp;
@@ -138,7 +138,7 @@
   gpointer key;
   g_hash_table_iter_init (&it, job->dirty);
   while (batch->left > 0 && most > 0 && g_hash_table_iter_next (&it, &key, NULL)) {
-    FtWrite *write = write_new (FT_WRITE_CHUNK, job->spec->ref);
+    FtWrite *write = ft_write_new (FT_WRITE_CHUNK, job->spec->ref);
     write->chunk = GPOINTER_TO_UINT (key);
     write->bits = ft_job_chunk_bits (job, write->chunk);
     write->stamp = job->stamp;
@@ -175,7 +175,7 @@
 static void
 add_end (FtJob *job, Batch *batch)
 {
-  FtWrite *write = write_new (end_kind (job), job->spec->ref);
+  FtWrite *write = ft_write_new (end_kind (job), job->spec->ref);
   write->stamp = job->stamp;
   write->tasks = job->spec->tasks;
   job->final_in_flight = batch_add (batch, write);
@@ -231,14 +231,13 @@
   if (job == NULL)
     return;
   g_hash_table_add (job->written, GUINT_TO_POINTER (write->chunk));
-  gsize size = 0;
-  g_autofree guchar *bits = g_base64_decode (write->bits, &size);
-  guint first = write->chunk * FT_DONE_CHUNK;
-  for (guint i = 0; i / 8 < size && first + i < job->spec->tasks; i++) {
-    FtTask *task = &job->tasks[first + i];
-    if (!(bits[i / 8] & (1u << (i % 8))) || task->state != FT_TASK_FINISHED)
+  g_autoptr (GArray) tasks = ft_job_chunk_tasks (job, write->chunk, write->bits);
+  for (guint i = 0; i < tasks->len; i++) {
+    guint index = g_array_index (tasks, guint, i);
+    FtTask *task = &job->tasks[index];
+    if (task->state != FT_TASK_FINISHED)
       continue;
-    ft_task_set_state (job, first + i, FT_TASK_DONE);
+    ft_task_set_state (job, index, FT_TASK_DONE);
     FtAttempt *a = task->attempt;
     if (a != NULL) {
       a->forget_ok = TRUE;
@@ -255,7 +254,7 @@
   gpointer key;
   g_hash_table_iter_init (&it, job->written);
   while (g_hash_table_iter_next (&it, &key, NULL)) {
-    FtWrite *drop = write_new (FT_WRITE_CHUNK_DROP, job->spec->ref);
+    FtWrite *drop = ft_write_new (FT_WRITE_CHUNK_DROP, job->spec->ref);
     drop->chunk = GPOINTER_TO_UINT (key);
     g_queue_push_tail (&s->closing, drop);
   }
@@ -334,7 +333,7 @@
     ft_job_touch (job);
     break;
   case FT_WRITE_CHUNK_DROP: {
-    FtWrite *again = write_new (FT_WRITE_CHUNK_DROP, write->name);
+    FtWrite *again = ft_write_new (FT_WRITE_CHUNK_DROP, write->name);
     again->chunk = write->chunk;
     g_queue_push_tail (&s->closing, again);
     break;
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -218,6 +218,12 @@
   guint open_tasks;
 };
 
+static inline gint64
+ft_seconds (double seconds)
+{
+  return (gint64) (seconds * FT_SECOND);
+}
+
 /* task.c */
 gboolean ft_task_set_state (FtJob *job, guint index, FtTaskState to);
 
@@ -232,13 +238,32 @@
 void ft_job_mark_dirty (FtJob *job, guint index);
 guint ft_job_chunks (const FtJob *job);
 char *ft_job_chunk_bits (const FtJob *job, guint chunk);
+/* The tasks that such bits name: a new array of their indexes. */
+GArray *ft_job_chunk_tasks (const FtJob *job, guint chunk, const char *bits);
+
+/* journal.c */
+FtWrite *ft_write_new (FtWriteKind kind, const char *name);
 
-/* scheduler.c */
+/* open_jobs.c: the jobs that are open, their life and what they wait for */
+void ft_open_jobs_init (FtScheduler *s);
+void ft_open_jobs_clear (FtScheduler *s);
 /* Nothing of the job starts any more, and what runs is stopped; `at`: when its withdrawal was committed. */
 void ft_job_withdraw (FtScheduler *s, FtJob *job, gint64 at);
 /* Its end is in the store: frees the job; what is left of it on machines is stopped. */
 void ft_job_close (FtScheduler *s, FtJob *job, FtJobEnd end);
 
+/* worker_reports.c: what a report tells of its machine and of the attempts there.
+ * `is_report`: it came by itself, not as the answer to a direct command. */
+void ft_machine_apply_report (FtScheduler *s, FtMachine *machine, const FtReport *report, gboolean is_report);
+
+/* commands.c */
+/* Since when the machine is silent, for all we can tell. */
+gint64 ft_machine_silent_since (const FtScheduler *s, const FtMachine *machine);
+/* The ordinary gap between two reports is over: a probe tells whether the
+ * machine or only the exchange is lost. */
+gboolean ft_machine_report_overdue (const FtScheduler *s, const FtMachine *machine);
+gboolean ft_machine_wants_probe (const FtScheduler *s, const FtMachine *machine);
+
 /* machine.c */
 FtMachine *ft_machine_new (FtScheduler *s, const char *name, const char *addr, const char *type, const char *zone,
                            gboolean spot);
--- /dev/null
+++ b/src/core/open_jobs.c
@@ -0,0 +1,254 @@
+/* The jobs that a leader knows to be open: how they come, wait for others, are cancelled and end. */
+#include "core/model.h"
+
+/* ---- jobs that wait for others ---- */
+
+static void
+open_job (FtScheduler *s, FtJob *job)
+{
+  ft_job_set_state (job, FT_JOB_OPEN);
+  job->ready_at = MAX (job->accepted_at, ft_dependencies_met_at (s->dependencies, job->spec->ref));
+  s->dirty = TRUE;
+}
+
+/* What it needs has ended, or those that need it have changed. */
+static void
+on_dependency_changed (const char *ref, gpointer data)
+{
+  FtScheduler *s = data;
+  FtJob *job = g_hash_table_lookup (s->jobs, ref);
+  const FtUrgency *urgency = ft_dependencies_urgency (s->dependencies, ref);
+  if (job == NULL || urgency == NULL)
+    return;
+  job->priority = urgency->priority;
+  job->deadline_at = urgency->deadline_at;
+  FtWait wait = ft_dependencies_wait (s->dependencies, ref);
+  if (wait == FT_WAIT_NONE && job->state == FT_JOB_WAITING)
+    open_job (s, job);
+  if (wait == FT_WAIT_CANCELLED && !job->needs_cancelled) {
+    job->needs_cancelled = TRUE;
+    ft_job_touch (job);
+  }
+}
+
+/* TRUE if its end is known to be committed. */
+static gboolean
+known_end (const FtScheduler *s, const char *ref, FtJobEnd *end)
+{
+  const FtJob *job = g_hash_table_lookup (s->jobs, ref);
+  guint value;
+  if (job != NULL) {
+    *end = FT_JOB_END_CANCELLED;
+    return job->state == FT_JOB_WITHDRAWN && job->withdrawal_read;
+  }
+  if (!ft_recent_map_find (s->closed, ref, &value))
+    return FALSE;
+  *end = (FtJobEnd) value;
+  return TRUE;
+}
+
+static void
+add_dependencies (FtScheduler *s, FtJob *job)
+{
+  const FtJobSpec *spec = job->spec;
+  g_autoptr (GPtrArray) needs = g_ptr_array_new ();
+  gboolean cancelled = FALSE;
+  /* Marks are only raised for jobs whose needs were done: then there is nothing to read. */
+  GStrv awaits = spec->sent > 0 ? NULL : spec->awaits;
+  for (guint i = 0; awaits != NULL && awaits[i] != NULL; i++) {
+    FtJobEnd end;
+    if (!known_end (s, awaits[i], &end))
+      g_ptr_array_add (needs, awaits[i]);
+    else
+      cancelled |= end == FT_JOB_END_CANCELLED;
+  }
+  g_ptr_array_add (needs, NULL);
+  FtUrgency own = { spec->priority, job->deadline_at, ft_seconds (spec->estimate_s + FT_STEP_OVERHEAD_S) };
+  ft_dependencies_add (s->dependencies, spec->ref, (const char *const *) needs->pdata, cancelled, &own);
+}
+
+const char *
+ft_scheduler_next_unread_job (FtScheduler *s, gint64 now)
+{
+  s->now = now;
+  return s->loaded ? ft_dependencies_next_unread (s->dependencies, now, ft_seconds (FT_NEED_READ_EVERY_S)) : NULL;
+}
+
+void
+ft_scheduler_job_end_read (FtScheduler *s, const char *ref, FtJobEnd end, gint64 age_us, gint64 now)
+{
+  s->now = now;
+  /* An open job's end comes by its own write, or with its withdrawal. */
+  if (g_hash_table_contains (s->jobs, ref))
+    return;
+  ft_recent_map_add (s->closed, ref, end);
+  ft_dependencies_settled (s->dependencies, ref, end, age_us >= 0 ? now - age_us : 0);
+}
+
+/* ---- life of a job ---- */
+
+void
+ft_open_jobs_init (FtScheduler *s)
+{
+  s->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) ft_job_free);
+  s->closed = ft_recent_map_new (FT_FINAL_CACHE);
+  s->dependencies = ft_dependencies_new (on_dependency_changed, s);
+}
+
+void
+ft_open_jobs_clear (FtScheduler *s)
+{
+  g_hash_table_unref (s->jobs);
+  ft_recent_map_free (s->closed);
+  ft_dependencies_free (s->dependencies);
+}
+
+static FtJob *
+add_job (FtScheduler *s, FtJobSpec *spec, guint64 stamp, FtTaskState initial, gint64 wall_ms)
+{
+  /* An event of the watch may be older than the job's end: a job ends once. */
+  if (g_hash_table_contains (s->jobs, spec->ref) || ft_recent_map_find (s->closed, spec->ref, NULL)) {
+    ft_job_spec_free (spec);
+    return NULL;
+  }
+  FtJob *job = ft_job_new (spec, ft_quota_team (s, spec->team), stamp, initial);
+  job->scheduler = s;
+  /* Each leader's starts are bounded by marks that it commits first, and the
+   * fence lets no former one raise a mark: what lies beyond was never sent. */
+  for (guint i = spec->sent; initial == FT_TASK_UNKNOWN && i < spec->tasks; i++)
+    ft_task_set_state (job, i, FT_TASK_QUEUED);
+  gint64 age_us = MAX (0, wall_ms - spec->submitted_wall_ms) * 1000;
+  job->accepted_at = job->ready_at = s->now - age_us;
+  job->deadline_at = spec->deadline_s > 0 ? job->accepted_at + (gint64) (spec->deadline_s * FT_SECOND) : 0;
+  s->open_tasks += spec->tasks;
+  s->dirty = TRUE;
+  g_hash_table_insert (s->jobs, spec->ref, job);
+  add_dependencies (s, job);
+  g_message ("job %s: %s of %s, %u tasks, %.1f s ago, estimate %.1f s, due within %.1f s", spec->ref, spec->job_class,
+             spec->team, spec->tasks, (double) age_us / FT_SECOND, spec->estimate_s, spec->deadline_s);
+  return job;
+}
+
+void
+ft_scheduler_load_job (FtScheduler *s, FtJobSpec *spec, guint64 stamp, gint64 now, gint64 wall_ms)
+{
+  s->now = now;
+  add_job (s, spec, stamp, FT_TASK_UNKNOWN, wall_ms);
+}
+
+void
+ft_scheduler_load_done (FtScheduler *s, const char *ref, guint chunk, const char *bits)
+{
+  FtJob *job = g_hash_table_lookup (s->jobs, ref);
+  if (job == NULL) {
+    /* Left over from a job that was finished in two transactions. */
+    FtWrite *drop = ft_write_new (FT_WRITE_CHUNK_DROP, ref);
+    drop->chunk = chunk;
+    g_queue_push_tail (&s->closing, drop);
+    return;
+  }
+  g_autoptr (GArray) tasks = ft_job_chunk_tasks (job, chunk, bits);
+  for (guint i = 0; i < tasks->len; i++)
+    ft_task_set_state (job, g_array_index (tasks, guint, i), FT_TASK_DONE);
+  g_hash_table_add (job->written, GUINT_TO_POINTER (chunk));
+}
+
+void
+ft_scheduler_job_added (FtScheduler *s, FtJobSpec *spec, guint64 stamp, gint64 now, gint64 wall_ms)
+{
+  s->now = now;
+  add_job (s, spec, stamp, s->recovered ? FT_TASK_QUEUED : FT_TASK_UNKNOWN, wall_ms);
+}
+
+/* Nothing of a withdrawn job starts any more; what runs is stopped. */
+void
+ft_job_withdraw (FtScheduler *s, FtJob *job, gint64 at)
+{
+  if (job->state >= FT_JOB_WITHDRAWN) {
+    job->withdrawn_at = MIN (job->withdrawn_at, at);
+    return;
+  }
+  job->withdrawn_at = at;
+  ft_job_set_state (job, FT_JOB_WITHDRAWN);
+  for (guint i = 0; i < job->spec->tasks; i++) {
+    FtAttempt *a = job->tasks[i].attempt;
+    if (job->tasks[i].state == FT_TASK_QUEUED)
+      ft_task_set_state (job, i, FT_TASK_DROPPED);
+    if (a == NULL || a->exited)
+      continue;
+    ft_attempt_want_stop (a, 0);
+    /* A start that never left this process needs no stop. */
+    if (!a->shown && a->sent_sequence == 0 && !a->direct_in_flight && !a->direct_unanswered)
+      ft_attempt_over (s, a);
+  }
+  s->dirty = TRUE;
+}
+
+void
+ft_scheduler_job_withdrawn (FtScheduler *s, const char *ref, gint64 age_us, gint64 now)
+{
+  s->now = now;
+  FtJob *job = g_hash_table_lookup (s->jobs, ref);
+  if (job == NULL)
+    return;
+  ft_job_withdraw (s, job, now - age_us);
+  job->withdrawal_read = TRUE;
+  ft_job_touch (job);
+  ft_dependencies_settled (s->dependencies, ref, FT_JOB_END_CANCELLED, now);
+}
+
+void
+ft_scheduler_withdrawal_hinted (FtScheduler *s, const char *ref, gint64 now)
+{
+  s->now = now;
+  FtJob *job = g_hash_table_lookup (s->jobs, ref);
+  if (job != NULL)
+    ft_job_withdraw (s, job, now);
+}
+
+void
+ft_job_close (FtScheduler *s, FtJob *job, FtJobEnd end)
+{
+  g_autoptr (GList) all = g_hash_table_get_keys (job->attempts);
+  ft_job_set_state (job, FT_JOB_CLOSED);
+  ft_recent_map_add (s->closed, job->spec->ref, end);
+  for (GList *l = all; l != NULL; l = l->next) {
+    FtAttempt *attempt = l->data;
+    attempt->job = NULL;
+    attempt->bound = FALSE;
+    attempt->forget_ok = attempt->exited;
+    if (!attempt->exited)
+      ft_attempt_want_stop (attempt, 0);
+  }
+  for (guint i = 0; i < job->spec->tasks && job->counts[FT_TASK_UNKNOWN] > 0; i++)
+    if (job->tasks[i].state == FT_TASK_UNKNOWN)
+      ft_task_set_state (job, i, FT_TASK_DROPPED);
+  s->open_tasks -= job->spec->tasks;
+  s->dirty = TRUE;
+  ft_placement_forget (s, job);
+  if (job->touched)
+    g_queue_remove (&s->touched, job);
+  g_autofree char *ref = g_strdup (job->spec->ref);
+  g_hash_table_remove (s->jobs, ref);
+  ft_dependencies_settled (s->dependencies, ref, end, s->now);
+}
+
+FtJobView
+ft_scheduler_view (const FtScheduler *s, const char *ref)
+{
+  FtJobView view = { 0 };
+  const FtJob *job = g_hash_table_lookup (s->jobs, ref);
+  if (job == NULL)
+    return view;
+  view.known = TRUE;
+  view.withdrawn = job->state == FT_JOB_WITHDRAWN;
+  view.done = ft_job_finished (job);
+  view.running = ft_job_live (job) - job->counts[FT_TASK_STARTING];
+  return view;
+}
+
+guint
+ft_scheduler_open_tasks (const FtScheduler *s)
+{
+  return s->open_tasks;
+}
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -10,6 +10,7 @@
 #include "net/http.h"
 
 struct _FtHttpServer {
+  gboolean stopping; /* answers nothing but 503 any more */
   struct MHD_Daemon *daemon;
   FtBodyKind kind;
   FtHttpHandler handler;
@@ -132,7 +133,10 @@
     return take_chunk (request, chunk, size);
   if (request->response != NULL)
     return queue_response (request); /* resumed */
-  server->handler (request, server->data);
+  if (server->stopping)
+    ft_http_unavailable (request);
+  else
+    server->handler (request, server->data);
   if (request->response != NULL)
     return queue_response (request);
   request->suspended = TRUE;
@@ -306,10 +310,12 @@
   return server;
 }
 
-/* The library does not stop while connections are suspended. */
+/* The library does not stop while connections are suspended: what waits is let go, and what
+ * comes in its last turn is not taken on. */
 static void
 let_go (FtHttpServer *server)
 {
+  server->stopping = TRUE;
   GHashTableIter it;
   gpointer key;
   g_hash_table_iter_init (&it, server->waiting);
--- a/tests/sim/day.hpp
+++ b/tests/sim/day.hpp
@@ -194,6 +194,18 @@
         world.failing.insert (m->name);
     });
   }
+  // Controllers end, machines fail and hang, cuts, and the state service is out for a while.
+  void
+  everything_at_once ()
+  {
+    for (int i = 0; i < 5; i++) {
+      Time when = (Time) (world.uniform (15, 150) * kSecond);
+      crash (when, world.below (3));
+      machine_trouble (when + (Time) (world.uniform (-2, 2) * kSecond));
+      cut_node ((Time) (world.uniform (15, 140) * kSecond), world.below (3), world.chance (0.5));
+    }
+    outage (90 * kSecond, 15 * kSecond);
+  }
   void
   cut_node (Time when, int node, bool from_store)
   {
--- a/tests/test_pipelines.cpp
+++ b/tests/test_pipelines.cpp
@@ -94,13 +94,7 @@
   day.world.copies = 0.05;
   day.load ();
   day.load_pipelines (12, 0.4);
-  for (int i = 0; i < 5; i++) {
-    Time when = (Time) (day.world.uniform (15, 150) * kSecond);
-    day.crash (when, day.world.below (3));
-    day.machine_trouble (when + (Time) (day.world.uniform (-2, 2) * kSecond));
-    day.cut_node ((Time) (day.world.uniform (15, 140) * kSecond), day.world.below (3), day.world.chance (0.5));
-  }
-  day.outage (90 * kSecond, 15 * kSecond);
+  day.everything_at_once ();
   day.finish ();
 }
 
--- a/tests/test_random_runs.cpp
+++ b/tests/test_random_runs.cpp
@@ -66,13 +66,7 @@
   day.world.loss = 0.02;
   day.world.late = 0.02;
   day.load ();
-  for (int i = 0; i < 5; i++) {
-    Time when = (Time) (day.world.uniform (15, 150) * kSecond);
-    day.crash (when, day.world.below (3));
-    day.machine_trouble (when + (Time) (day.world.uniform (-2, 2) * kSecond));
-    day.cut_node ((Time) (day.world.uniform (15, 140) * kSecond), day.world.below (3), day.world.chance (0.5));
-  }
-  day.outage (90 * kSecond, 15 * kSecond);
+  day.everything_at_once ();
   day.finish ();
 }
 
