--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -110,12 +110,33 @@
   return request->total > FT_BODY_CUT ? MHD_NO : MHD_YES;
 }
 
+static struct MHD_Response *
+response_new (FtHttpServer *server, const json_t *body)
+{
+  if (body == NULL)
+    return MHD_create_response_from_buffer (0, (void *) "", MHD_RESPMEM_PERSISTENT);
+  g_autoptr (GBytes) bytes = ft_http_encode (server->kind, body);
+  gsize size;
+  const void *data = g_bytes_get_data (bytes, &size);
+  struct MHD_Response *response = MHD_create_response_from_buffer (size, (void *) data, MHD_RESPMEM_MUST_COPY);
+  MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE, ft_http_content_type (server->kind));
+  return response;
+}
+
 static enum MHD_Result
 queue_response (FtHttpRequest *request)
 {
   return MHD_queue_response (request->connection, request->status, request->response);
 }
 
+/* 503, from the server itself. */
+static void
+refuse (FtHttpServer *server, FtHttpRequest *request)
+{
+  request->status = 503;
+  request->response = response_new (server, NULL);
+}
+
 static enum MHD_Result
 on_request (void *data, struct MHD_Connection *connection, const char *path, const char *method, const char *version,
             const char *chunk, size_t *size, void **context)
@@ -133,10 +154,11 @@
     return take_chunk (request, chunk, size);
   if (request->response != NULL)
     return queue_response (request); /* resumed */
-  if (server->stopping)
-    ft_http_unavailable (request);
-  else
-    server->handler (request, server->data);
+  if (server->stopping) {
+    refuse (server, request);
+    return queue_response (request);
+  }
+  server->handler (request, server->data);
   if (request->response != NULL)
     return queue_response (request);
   request->suspended = TRUE;
@@ -179,19 +201,6 @@
   return request->total <= FT_BODY_MOST ? request->raw->data : NULL;
 }
 
-static struct MHD_Response *
-response_new (FtHttpServer *server, const json_t *body)
-{
-  if (body == NULL)
-    return MHD_create_response_from_buffer (0, (void *) "", MHD_RESPMEM_PERSISTENT);
-  g_autoptr (GBytes) bytes = ft_http_encode (server->kind, body);
-  gsize size;
-  const void *data = g_bytes_get_data (bytes, &size);
-  struct MHD_Response *response = MHD_create_response_from_buffer (size, (void *) data, MHD_RESPMEM_MUST_COPY);
-  MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE, ft_http_content_type (server->kind));
-  return response;
-}
-
 void
 ft_http_respond (FtHttpRequest *request, guint status, json_t *body)
 {
@@ -321,8 +330,7 @@
   g_hash_table_iter_init (&it, server->waiting);
   while (g_hash_table_iter_next (&it, &key, NULL)) {
     FtHttpRequest *request = key;
-    request->status = 503;
-    request->response = response_new (server, NULL);
+    refuse (server, request);
     request->server = NULL;
     MHD_resume_connection (request->connection);
   }
