--- a/src/core/explain.c
+++ b/src/core/explain.c
@@ -42,6 +42,20 @@
   }
 }
 
+void
+ft_scheduler_count_jobs (const FtScheduler *s, guint *open, guint *waiting)
+{
+  GHashTableIter it;
+  gpointer value;
+  *open = *waiting = 0;
+  g_hash_table_iter_init (&it, s->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    FtJobState state = ((const FtJob *) value)->state;
+    *open += state < FT_JOB_WITHDRAWN;
+    *waiting += state == FT_JOB_WAITING;
+  }
+}
+
 static const char *
 why_unused (const FtScheduler *s, const FtMachine *m)
 {
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -160,6 +160,8 @@
 } FtJobInfo;
 typedef void (*FtJobVisitor) (const FtJobInfo *job, gpointer data);
 void ft_scheduler_each_job (FtScheduler *s, FtJobVisitor visit, gpointer data);
+/* Jobs that are known to be open, and of them those that wait for others. */
+void ft_scheduler_count_jobs (const FtScheduler *s, guint *open, guint *waiting);
 typedef void (*FtMachineVisitor) (const char *name, const char *state, const char *type, const char *zone,
                                   gboolean spot, guint64 session, guint tasks, const char *unused_why, gpointer data);
 void ft_scheduler_each_machine (FtScheduler *s, FtMachineVisitor visit, gpointer data);
--- a/src/net/admin.c
+++ b/src/net/admin.c
@@ -126,6 +126,20 @@
   ft_http_respond (request, 200, json_pack ("{s:o}", what, list));
 }
 
+/* The counters since the start; a leader's also say how many jobs there are now. */
+static void
+get_metrics (FtNode *node, FtHttpRequest *request)
+{
+  json_t *body = ft_metrics_body (node->metrics), *counters = json_object_get (body, "counters");
+  if (node->scheduler != NULL) {
+    guint open, waiting;
+    ft_scheduler_count_jobs (node->scheduler, &open, &waiting);
+    json_object_set_new (counters, "open_jobs", json_integer (open));
+    json_object_set_new (counters, "waiting_jobs", json_integer (waiting));
+  }
+  ft_http_respond (request, 200, body);
+}
+
 /* ---- settings ---- */
 
 typedef struct {
@@ -354,7 +368,7 @@
   if (strcmp (what, "status") == 0)
     get_status (node, request);
   else if (strcmp (what, "metrics") == 0)
-    ft_http_respond (request, 200, ft_metrics_body (node->metrics));
+    get_metrics (node, request);
   else if (strcmp (what, "settings") == 0)
     ft_http_respond (request, 200, settings_body (&node->tuning, node->settings_version));
   else if (!g_strv_contains (lists, what))
--- a/tests/test_upgrade.cpp
+++ b/tests/test_upgrade.cpp
@@ -310,6 +310,10 @@
   EXPECT_EQ (shown ("req-11", "awaits"), "req-3");
   EXPECT_EQ (shown ("req-3", "awaited_by"), "req-11");
   EXPECT_EQ (shown ("req-11", "waits_for"), "jobs that it needs are not done");
+  auto metrics = call ("GET", t.c.mesh[leader], "/admin/metrics", nullptr, FT_BODY_JSON);
+  const json_t *counters = json_object_get (metrics->body, "counters");
+  EXPECT_EQ (json_integer_value (json_object_get (counters, "open_jobs")), 2);
+  EXPECT_EQ (json_integer_value (json_object_get (counters, "waiting_jobs")), 1);
 }
 
 } // namespace
