--- a/tests/test_upgrade.cpp
+++ b/tests/test_upgrade.cpp
@@ -123,6 +123,35 @@
   EXPECT_TRUE (finished (c.front[0], "req-6", "done")) << "what it needs was done under an old leader";
 }
 
+// A set of done tasks that one version has begun is finished by the other, in either direction:
+// what was cleared from its worker is not started again.
+TEST (Upgrade, ADoneSetBegunByOneVersionIsFinishedByTheOther)
+{
+  Services services;
+  Controllers c (services, 3, site_with_next_limits (), kOld);
+  for (size_t i = 0; i < 3; i++)
+    ASSERT_TRUE (c.ready (i));
+  Machine machine (c.front, "n-000001", 150, 20); // four tasks at a time, three seconds each
+  guint expected = 0;
+  for (const char *next : { kNew, kOld }) {
+    std::string ref = next == kNew ? "req-51" : "req-52", row = "d/" + ref + "/0";
+    ASSERT_TRUE (wait_for ([&] { return call ("POST", c.front[0], "/work", job (ref.c_str (), 12))->status == 201; }));
+    ASSERT_TRUE (wait_for ([&] {
+      json_t *all = services.store.dump ();
+      bool begun = json_object_get (all, row.c_str ()) != nullptr;
+      json_decref (all);
+      return begun;
+    })) << row;
+    for (size_t i = 0; i < 3; i++)
+      c.kill (i);
+    for (size_t i = 0; i < 3; i++)
+      replace (c, i, next);
+    EXPECT_TRUE (finished (c.front[1], ref.c_str (), "done")) << ref;
+    expected += 12;
+    EXPECT_EQ (machine.starts, expected) << ref << ": each task once";
+  }
+}
+
 // Rows that the old version wrote under larger limits are split when they change, and no machine
 // is forgotten meanwhile; nothing is refused once the limits are lower.
 TEST (Upgrade, LargeRowsOfTheOldVersionAreSplitUnderTheNewLimits)
