--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -275,13 +275,13 @@
 /* Seconds until the row of a job that others wait for is read again, if it was open and the job
  * has not come by the watch. */
 #define FT_NEED_READ_EVERY_S 1.0
+/* Such readings under way at once. */
+#define FT_NEED_READS_MOST 8
 /* Share of cancel_s for which a controller tells that a job is open without looking again
  * whether something that it needs was cancelled. */
 #define FT_LINEAGE_FRESH 0.5
 /* Jobs that one request looks at at once. */
 #define FT_LINEAGE_READS_MOST 16
-/* Such readings under way at once. */
-#define FT_NEED_READS_MOST 8
 
 /* ---- roster ---- */
 /* Bytes of a machine's entry in a roster row beside its texts, as JSON with spaces. */
@@ -298,7 +298,8 @@
  * changes that done-sets may take: with many jobs under way each is written less often. */
 #define FT_CHUNK_EVERY_S 3.0
 #define FT_CHUNK_WRITE_SHARE 0.25
-/* Chunks of done-sets written, and deleted, in a batch while less than this share of a second's changes is unused. */
+/* Chunks of done-sets written, and deleted, in a batch while less than this share of a second's
+ * changes is unused. */
 #define FT_CHUNKS_WITHOUT_SPARE 1
 #define FT_SPARE_WRITES_SHARE 0.6
 /* Tasks of one job (protocol). */
--- a/src/core/dependency.c
+++ b/src/core/dependency.c
@@ -105,15 +105,6 @@
   g_ptr_array_unref (nodes);
 }
 
-static GPtrArray *
-copy_of (const GPtrArray *nodes)
-{
-  GPtrArray *copy = g_ptr_array_sized_new (nodes->len);
-  for (guint i = 0; i < nodes->len; i++)
-    g_ptr_array_add (copy, g_ptr_array_index (nodes, i));
-  return copy;
-}
-
 /* ---- jobs ---- */
 
 static void
@@ -138,10 +129,12 @@
   }
 }
 
-/* Marks what needs these jobs as cancelled, however indirectly. Frees the array. */
+/* Marks what needs the job as cancelled, however indirectly. */
 static void
-cancel_dependents (FtDependencies *d, GPtrArray *nodes)
+cancel_dependents (FtDependencies *d, Node *first)
 {
+  g_autoptr (GPtrArray) nodes = g_ptr_array_new ();
+  g_ptr_array_add (nodes, first);
   while (nodes->len > 0) {
     Node *node = g_ptr_array_steal_index_fast (nodes, nodes->len - 1);
     for (guint i = 0; i < node->dependents->len; i++) {
@@ -153,15 +146,6 @@
       g_ptr_array_add (nodes, dependent);
     }
   }
-  g_ptr_array_unref (nodes);
-}
-
-static void
-cancel_dependents_of (FtDependencies *d, Node *node)
-{
-  GPtrArray *nodes = g_ptr_array_new ();
-  g_ptr_array_add (nodes, node);
-  cancel_dependents (d, nodes);
 }
 
 void
@@ -180,8 +164,8 @@
   node->cancelled = cancelled;
   d->changed (node->ref, d->data);
   if (cancelled)
-    cancel_dependents_of (d, node);
-  update_urgencies (d, copy_of (node->needs));
+    cancel_dependents (d, node);
+  update_urgencies (d, g_ptr_array_copy (node->needs, NULL, NULL));
 }
 
 /* Takes the node out of what it needs; what nobody else needs and nobody knows goes. */
@@ -220,7 +204,7 @@
   if (node == NULL)
     return;
   if (end == FT_JOB_END_CANCELLED)
-    cancel_dependents_of (d, node);
+    cancel_dependents (d, node);
   unlink_needs (d, node);
   meet (d, node, at); /* those of a cancelled one stay cancelled */
   g_hash_table_remove (d->nodes, ref);
--- a/src/core/explain.c
+++ b/src/core/explain.c
@@ -27,21 +27,29 @@
   g_hash_table_iter_init (&it, s->jobs);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     const FtJob *job = value;
-    g_auto (GStrv) needs = ft_dependencies_needs (s->dependencies, job->spec->ref);
-    g_auto (GStrv) dependents = ft_dependencies_dependents (s->dependencies, job->spec->ref);
     const FtJobInfo info = { .ref = job->spec->ref,
                              .job_class = job->spec->job_class,
                              .state = ft_job_state_name (job->state),
                              .tasks = job->spec->tasks,
                              .done = ft_job_finished (job),
                              .running = ft_job_live (job) - job->counts[FT_TASK_STARTING],
-                             .why_waiting = why_waiting (s, job),
-                             .awaits = (const char *const *) needs,
-                             .awaited_by = (const char *const *) dependents };
+                             .why_waiting = why_waiting (s, job) };
     visit (&info, data);
   }
 }
 
+GStrv
+ft_scheduler_awaits (const FtScheduler *s, const char *ref)
+{
+  return ft_dependencies_needs (s->dependencies, ref);
+}
+
+GStrv
+ft_scheduler_awaited_by (const FtScheduler *s, const char *ref)
+{
+  return ft_dependencies_dependents (s->dependencies, ref);
+}
+
 void
 ft_scheduler_count_jobs (const FtScheduler *s, guint *open, guint *waiting)
 {
--- a/src/core/roster.c
+++ b/src/core/roster.c
@@ -154,9 +154,7 @@
 static FtWrite *
 write_of (FtRosterRow *row)
 {
-  FtWrite *write = g_new0 (FtWrite, 1);
-  write->kind = row->machines->len > 0 ? FT_WRITE_ROSTER : FT_WRITE_ROSTER_DROP;
-  write->name = g_strdup (row->id);
+  FtWrite *write = ft_write_new (row->machines->len > 0 ? FT_WRITE_ROSTER : FT_WRITE_ROSTER_DROP, row->id);
   write->machines = ft_listed_new ();
   for (guint i = 0; i < row->machines->len; i++) {
     const FtMachine *m = g_ptr_array_index (row->machines, i);
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -154,12 +154,13 @@
 typedef struct {
   const char *ref, *job_class, *state;
   guint tasks, done, running;
-  const char *why_waiting;       /* empty: nothing of it waits */
-  const char *const *awaits;     /* jobs that it needs and that are not done */
-  const char *const *awaited_by; /* jobs that need it */
+  const char *why_waiting; /* empty: nothing of it waits */
 } FtJobInfo;
 typedef void (*FtJobVisitor) (const FtJobInfo *job, gpointer data);
 void ft_scheduler_each_job (FtScheduler *s, FtJobVisitor visit, gpointer data);
+/* The jobs that a job needs and that are not done, and those that need it: new. */
+GStrv ft_scheduler_awaits (const FtScheduler *s, const char *ref);
+GStrv ft_scheduler_awaited_by (const FtScheduler *s, const char *ref);
 /* Jobs that are known to be open, and of them those that wait for others. */
 void ft_scheduler_count_jobs (const FtScheduler *s, guint *open, guint *waiting);
 typedef void (*FtMachineVisitor) (const char *name, const char *state, const char *type, const char *zone,
--- a/src/net/admin.c
+++ b/src/net/admin.c
@@ -72,12 +72,19 @@
                                           "gpus_guaranteed", limit->gpus, "gpus_max", limit->gpus_max));
 }
 
-/* Refs as one text, the first few of many. */
+/* A list of jobs being made. */
+typedef struct {
+  const FtScheduler *scheduler;
+  json_t *list;
+} JobList;
+
+/* Refs as one text, the first few of many; takes them. */
 static char *
-some_refs (const char *const *refs)
+some_refs (GStrv all)
 {
+  g_auto (GStrv) refs = all;
   GString *text = g_string_new (NULL);
-  guint n = g_strv_length ((GStrv) refs);
+  guint n = g_strv_length (refs);
   for (guint i = 0; i < MIN (n, FT_ADMIN_REFS_MOST); i++)
     g_string_append_printf (text, "%s%s", i > 0 ? " " : "", refs[i]);
   if (n > FT_ADMIN_REFS_MOST)
@@ -88,11 +95,13 @@
 static void
 add_job (const FtJobInfo *job, gpointer data)
 {
-  g_autofree char *awaits = some_refs (job->awaits), *awaited_by = some_refs (job->awaited_by);
-  json_array_append_new (data, json_pack ("{s:s, s:s, s:s, s:i, s:i, s:i, s:s, s:s, s:s}", "job", job->ref, "class",
-                                          job->job_class, "state", job->state, "tasks", (int) job->tasks, "done",
-                                          (int) job->done, "running", (int) job->running, "waits_for", job->why_waiting,
-                                          "awaits", awaits, "awaited_by", awaited_by));
+  JobList *jobs = data;
+  g_autofree char *awaits = some_refs (ft_scheduler_awaits (jobs->scheduler, job->ref));
+  g_autofree char *awaited_by = some_refs (ft_scheduler_awaited_by (jobs->scheduler, job->ref));
+  json_array_append_new (jobs->list, json_pack ("{s:s, s:s, s:s, s:i, s:i, s:i, s:s, s:s, s:s}", "job", job->ref,
+                                                "class", job->job_class, "state", job->state, "tasks", (int) job->tasks,
+                                                "done", (int) job->done, "running", (int) job->running, "waits_for",
+                                                job->why_waiting, "awaits", awaits, "awaited_by", awaited_by));
 }
 
 static void
@@ -115,12 +124,13 @@
 get_list (FtNode *node, FtHttpRequest *request, const char *what)
 {
   json_t *list = json_array ();
+  JobList jobs = { node->scheduler, list };
   if (strcmp (what, "teams") == 0)
     ft_scheduler_each_team (node->scheduler, add_team, list);
   else if (strcmp (what, "jobs") == 0)
-    ft_scheduler_each_job (node->scheduler, add_job, list);
+    ft_scheduler_each_job (node->scheduler, add_job, &jobs);
   else if (strcmp (what, "queue") == 0)
-    ft_scheduler_each_job (node->scheduler, add_waiting, list);
+    ft_scheduler_each_job (node->scheduler, add_waiting, &jobs);
   else
     ft_scheduler_each_machine (node->scheduler, add_machine, list);
   ft_http_respond (request, 200, json_pack ("{s:o}", what, list));
--- a/src/net/user_api.c
+++ b/src/net/user_api.c
@@ -170,6 +170,17 @@
   job->needs = g_strdupv (call->spec->awaits);
 }
 
+/* The job was not created now: it is known already, or the commit's fate is unknown, or it
+ * was not carried out. */
+static void
+not_created (UserCall *call, guint status)
+{
+  if (status == 409 || status == 0)
+    read_job (call);
+  else
+    finish (call, 503, NULL);
+}
+
 static void
 on_created (guint status, const json_t *body, gpointer data)
 {
@@ -179,10 +190,8 @@
     remember_created (call, stamp);
   if (status == 200)
     finish (call, 201, ft_message_job_state (call->ref, "queued", 0, 0, FALSE));
-  else if (status == 409 || status == 0)
-    read_job (call); /* known already, or the commit's fate is unknown */
   else
-    finish (call, 503, NULL);
+    not_created (call, status);
 }
 
 static void
@@ -202,16 +211,14 @@
 {
   UserCall *call = data;
   (void) body;
-  if (status == 200) {
-    g_message ("job %s: accepted as cancelled, since a job that it needs is", call->ref);
-    ft_metrics_count (call->node->metrics, FT_COUNT_CANCELLED_WITH_NEED);
-    ft_known_jobs_ended (call->node->known, call->ref, FT_JOB_END_CANCELLED, call->spec->tasks);
-    finish (call, 201, ended_body (call->ref, FT_JOB_END_CANCELLED, call->spec->tasks));
-  } else if (status == 409 || status == 0) {
-    read_job (call);
-  } else {
-    finish (call, 503, NULL);
+  if (status != 200) {
+    not_created (call, status);
+    return;
   }
+  g_message ("job %s: accepted as cancelled, since a job that it needs is", call->ref);
+  ft_metrics_count (call->node->metrics, FT_COUNT_CANCELLED_WITH_NEED);
+  ft_known_jobs_ended (call->node->known, call->ref, FT_JOB_END_CANCELLED, call->spec->tasks);
+  finish (call, 201, ended_body (call->ref, FT_JOB_END_CANCELLED, call->spec->tasks));
 }
 
 /* Accepted, and over at once: no leader need ever hear of it. */
--- a/src/wire/store.c
+++ b/src/wire/store.c
@@ -465,11 +465,11 @@
 /* ---- a leader's batch ---- */
 
 static void
-add_job_done (json_t *txn, const FtWrite *w, gint64 wall_ms)
+add_job_ended (json_t *txn, const FtWrite *w, FtJobEnd end, gint64 wall_ms)
 {
   g_autofree char *job = ft_key_job (w->name), *open = ft_key_open (w->name);
   ft_txn_if (txn, job, w->stamp);
-  ft_txn_put (txn, job, ft_row_job_ended (FT_JOB_END_DONE, w->tasks, wall_ms));
+  ft_txn_put (txn, job, ft_row_job_ended (end, w->tasks, wall_ms));
   ft_txn_delete (txn, open);
 }
 
@@ -481,15 +481,6 @@
   ft_txn_delete (txn, mark);
 }
 
-static void
-add_job_cancelled (json_t *txn, const FtWrite *w, gint64 wall_ms)
-{
-  g_autofree char *job = ft_key_job (w->name), *open = ft_key_open (w->name);
-  ft_txn_if (txn, job, w->stamp);
-  ft_txn_put (txn, job, ft_row_job_ended (FT_JOB_END_CANCELLED, w->tasks, wall_ms));
-  ft_txn_delete (txn, open);
-}
-
 static json_t *
 marked_row (const FtWrite *w)
 {
@@ -541,13 +532,13 @@
     ft_txn_delete (txn, key);
     break;
   case FT_WRITE_JOB_DONE:
-    add_job_done (txn, w, wall_ms);
+    add_job_ended (txn, w, FT_JOB_END_DONE, wall_ms);
     break;
   case FT_WRITE_JOB_GONE:
     add_job_gone (txn, w);
     break;
   case FT_WRITE_JOB_CANCELLED:
-    add_job_cancelled (txn, w, wall_ms);
+    add_job_ended (txn, w, FT_JOB_END_CANCELLED, wall_ms);
     break;
   }
 }
