--- a/src/net/lineage.c
+++ b/src/net/lineage.c
@@ -75,9 +75,10 @@
 static void
 decide (Walk *walk, FtLineageResult result, const char *ref)
 {
-  if (walk->result != FT_LINEAGE_OPEN)
+  if (result <= walk->result)
     return;
   walk->result = result;
+  g_free (walk->found);
   walk->found = g_strdup (ref);
 }
 
@@ -238,7 +239,7 @@
 {
   if (walk_too_long (walk))
     decide (walk, FT_LINEAGE_UNREAD, NULL);
-  while (walk->result == FT_LINEAGE_OPEN && walk->reads < FT_LINEAGE_READS_MOST && !g_queue_is_empty (&walk->todo)) {
+  while (walk->result < FT_LINEAGE_UNREAD && walk->reads < FT_LINEAGE_READS_MOST && !g_queue_is_empty (&walk->todo)) {
     g_autofree char *ref = g_queue_pop_head (&walk->todo);
     if (!known_enough (walk, ref))
       look_at (walk, ref);
--- a/src/net/lineage.h
+++ b/src/net/lineage.h
@@ -6,11 +6,13 @@
 #pragma once
 #include "net/node.h"
 
+/* In the order in which one outweighs another: a job that was never accepted is found
+ * whatever else is. */
 typedef enum {
   FT_LINEAGE_OPEN,
-  FT_LINEAGE_CANCELLED, /* one of them is cancelled */
-  FT_LINEAGE_MISSING,   /* one of them was never accepted */
+  FT_LINEAGE_CANCELLED, /* one of them is cancelled, and all that were named were accepted */
   FT_LINEAGE_UNREAD,    /* the state service did not tell */
+  FT_LINEAGE_MISSING,   /* one of them was never accepted */
 } FtLineageResult;
 /* `ref`: the job that is cancelled or missing, else NULL; borrowed. */
 typedef void (*FtLineageDone) (FtLineageResult result, const char *ref, gpointer data);
--- a/tests/test_upgrade.cpp
+++ b/tests/test_upgrade.cpp
@@ -223,9 +223,14 @@
 {
   ThreeControllers t;
   ASSERT_EQ (t.submit (0, job ("req-3", 1)), 201u);
+  ASSERT_EQ (t.submit (1, job ("req-2", 1)), 201u);
+  EXPECT_EQ (call ("POST", t.c.front[2], "/work/req-2/withdraw")->text ("standing"), "withdrawn");
   for (int again = 0; again < 2; again++)
     for (size_t i = 0; i < 3; i++) {
       EXPECT_EQ (t.submit (i, job_after ("req-1", { "req-3", "req-404" })), 422u);
+      // On the bench one that needed a cancelled job as well was accepted, and cancelled.
+      EXPECT_EQ (t.submit (i, job_after ("req-1", { "req-2", "req-404" })), 422u);
+      EXPECT_EQ (t.submit (i, job_after ("req-1", { "req-404", "req-2" })), 422u);
       EXPECT_EQ (t.submit (i, job_after ("req-1", { "req-1" })), 400u) << "itself";
       EXPECT_EQ (t.submit (i, job_after ("req-1", { "no job" })), 400u);
       json_t *body = job ("req-1", 1);
