--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -300,7 +300,7 @@
  * changes that done-sets may take: with many jobs under way each is written less often. */
 #define FT_CHUNK_EVERY_S 3.0
 #define FT_CHUNK_WRITE_SHARE 0.25
-/* Chunks of done-sets in a batch while less than this share of a second's changes is unused. */
+/* Chunks of done-sets written, and deleted, in a batch while less than this share of a second's changes is unused. */
 #define FT_CHUNKS_WITHOUT_SPARE 1
 #define FT_SPARE_WRITES_SHARE 0.6
 /* Tasks of one job (protocol). */
@@ -327,11 +327,18 @@
 /* Seconds a cloud request may take. */
 #define FT_CLOUD_TIMEOUT_S 5.0
 /* Share of the state service's requests that a leader and each follower allow themselves, and
- * the same for its changes, most of which are the leader's. */
+ * the same for its changes, most of which are the leader's. All of them at once are more than
+ * the limit; what is refused is sent again, more slowly. */
 #define FT_LEADER_SHARE 0.5
 #define FT_FOLLOWER_SHARE 0.22
-#define FT_LEADER_WRITE_SHARE 0.62
+#define FT_LEADER_WRITE_SHARE 0.74
 #define FT_FOLLOWER_WRITE_SHARE 0.17
+/* Share of a budget that comes back in a second after a refusal for the rate, and the least
+ * that is left of it. */
+#define FT_BUDGET_RECOVERY 0.1
+#define FT_BUDGET_LEAST 0.05
+/* Times that a request is sent again by itself after such refusals. */
+#define FT_STATE_RESENDS 3
 /* Share of the cloud limit the leader allows itself. */
 #define FT_CLOUD_SHARE 0.8
 /* Requests waiting for the state service before new user requests get 503. */
--- a/src/core/journal.c
+++ b/src/core/journal.c
@@ -18,11 +18,9 @@
 {
   switch (write->kind) {
   case FT_WRITE_JOB_DONE:
-    return 2 + (write->chunk > 0); /* the row, the index, the first chunk */
   case FT_WRITE_JOB_GONE:
-    return 3;
   case FT_WRITE_JOB_CANCELLED:
-    return 2;
+    return 2; /* the job's own row or the mark of its withdrawal, and the row of an open job */
   default:
     return 1;
   }
@@ -180,7 +178,6 @@
   FtWrite *write = write_new (end_kind (job), job->spec->ref);
   write->stamp = job->stamp;
   write->tasks = job->spec->tasks;
-  write->chunk = g_hash_table_size (job->written);
   job->final_in_flight = batch_add (batch, write);
 }
 
@@ -212,8 +209,9 @@
   for (GList *l = s->touched.head; l != NULL && batch.left > 0; l = l->next)
     if (wants_mark (l->data))
       add_mark (l->data, &batch);
-  /* Without spare changes each chunk would hold up the ends and marks of the next batch. */
+  /* Without spare changes each further one would hold up the ends and marks of the next batch. */
   guint chunks = spare ? G_MAXUINT : FT_CHUNKS_WITHOUT_SPARE;
+  guint drops = chunks;
   for (GList *l = s->touched.head; l != NULL && batch.left > 0 && chunks > 0; l = l->next) {
     const FtJob *job = l->data;
     if (!job->final_in_flight && !job->conflicted && !job_ends (job))
@@ -221,7 +219,7 @@
   }
   s->looked_at += g_queue_get_length (&s->touched);
   keep_touched (s);
-  while (batch.left > 0 && !g_queue_is_empty (&s->closing))
+  for (; batch.left > 0 && drops > 0 && !g_queue_is_empty (&s->closing); drops--)
     batch_add (&batch, g_queue_pop_head (&s->closing));
   return batch.writes;
 }
@@ -249,15 +247,14 @@
   }
 }
 
+/* Its done-set goes when changes are spare; a leader that finds the rest deletes it too. */
 static void
-leave_chunks (FtScheduler *s, const FtJob *job, gboolean first_deleted)
+leave_chunks (FtScheduler *s, const FtJob *job)
 {
   GHashTableIter it;
   gpointer key;
   g_hash_table_iter_init (&it, job->written);
   while (g_hash_table_iter_next (&it, &key, NULL)) {
-    if (first_deleted && GPOINTER_TO_UINT (key) == 0)
-      continue;
     FtWrite *drop = write_new (FT_WRITE_CHUNK_DROP, job->spec->ref);
     drop->chunk = GPOINTER_TO_UINT (key);
     g_queue_push_tail (&s->closing, drop);
@@ -272,7 +269,7 @@
              done                        ? "done"
              : kind == FT_WRITE_JOB_GONE ? "end of withdrawal"
                                          : "cancelled with a job that it needs");
-  leave_chunks (s, job, TRUE);
+  leave_chunks (s, job);
   ft_job_close (s, job, done ? FT_JOB_END_DONE : FT_JOB_END_CANCELLED);
 }
 
@@ -397,6 +394,6 @@
     ft_job_withdraw (s, job, s->now);
     return;
   }
-  leave_chunks (s, job, FALSE);
+  leave_chunks (s, job);
   ft_job_close (s, job, FT_JOB_END_DONE);
 }
--- a/src/net/budget.c
+++ b/src/net/budget.c
@@ -5,13 +5,15 @@
 void
 ft_budget_init (FtBudget *budget, double rate, double burst, gint64 now)
 {
-  *budget = (FtBudget){ .rate = rate, .burst = burst, .level = burst, .at = now };
+  *budget = (FtBudget){ .rate = rate, .full = rate, .burst = burst, .level = burst, .at = now };
 }
 
 static void
 fill (FtBudget *budget, gint64 now)
 {
-  budget->level = MIN (budget->burst, budget->level + budget->rate * (double) (now - budget->at) / FT_SECOND);
+  double seconds = (double) (now - budget->at) / FT_SECOND;
+  budget->level = MIN (budget->burst, budget->level + budget->rate * seconds);
+  budget->rate = MIN (budget->full, budget->rate + budget->full * FT_BUDGET_RECOVERY * seconds);
   budget->at = now;
 }
 
@@ -19,8 +21,15 @@
 ft_budget_set_rate (FtBudget *budget, double rate, gint64 now)
 {
   fill (budget, now);
-  budget->rate = rate;
-  budget->burst = rate;
+  budget->rate = budget->full = budget->burst = rate;
+}
+
+void
+ft_budget_refused (FtBudget *budget, gint64 now)
+{
+  fill (budget, now);
+  budget->level = MIN (budget->level, 0);
+  budget->rate = MAX (budget->rate / 2, budget->full * FT_BUDGET_LEAST);
 }
 
 /* A single demand larger than the burst passes once the bucket is full. */
--- a/src/net/leader.c
+++ b/src/net/leader.c
@@ -357,6 +357,12 @@
   batch_over (node, call, FALSE, ref);
 }
 
+static void
+shrink_batches (FtNode *node)
+{
+  node->batch_ops_most = MAX (FT_TXN_OPS_LEAST, node->batch_ops_most / 2);
+}
+
 /* The state service will not take it, however often it is sent: its limits may have changed.
  * What comes next is smaller. */
 static void
@@ -365,7 +371,7 @@
   ft_metrics_count (node->metrics, FT_COUNT_BATCHES_INVALID);
   g_warning ("node %s: the state service refused a batch of %u writes as invalid", node->config->member,
              call->writes->len);
-  node->batch_ops_most = MAX (FT_TXN_OPS_LEAST, node->batch_ops_most / 2);
+  shrink_batches (node);
   ft_scheduler_lower_value_limit (node->scheduler);
   node->next_batch = g_get_monotonic_time () + (gint64) (FT_BATCH_INVALID_PAUSE_S * FT_SECOND);
   batch_over (node, call, FALSE, NULL);
@@ -387,6 +393,8 @@
   } else if (status == 409) {
     batch_refused (node, call, body);
   } else if (status == 503 || status == 429) {
+    if (status == 429)
+      shrink_batches (node); /* more changes at once than the service takes in a second never pass */
     node->next_batch = soon (node);
     batch_over (node, call, FALSE, NULL);
   } else if (status == 400) {
--- a/src/net/state_client.c
+++ b/src/net/state_client.c
@@ -8,7 +8,9 @@
   char *method, *path;
   json_t *body;
   double timeout_s;
+  FtStatePriority priority;
   guint writes;
+  guint resends;
   FtHttpDone done;
   gpointer data;
 } Request;
@@ -80,12 +82,31 @@
                       now);
 }
 
+static void state_pump (FtState *state);
+
+/* Refused for the rate: it was not executed, and goes again once the budget allows it. */
+static gboolean
+send_again (Request *request, gint64 now)
+{
+  FtState *state = request->state;
+  ft_budget_refused (request->writes > 0 ? &state->writes : &state->requests, now);
+  if (request->priority == FT_STATE_LEASE || request->resends >= FT_STATE_RESENDS)
+    return FALSE;
+  request->resends++;
+  state->writes_waiting += request->writes;
+  g_queue_push_head (&state->queues[request->priority], request);
+  state_pump (state);
+  return TRUE;
+}
+
 static void
 on_done (guint status, const json_t *body, gpointer data)
 {
   Request *request = data;
   FtState *state = request->state;
   gint64 now = g_get_monotonic_time ();
+  if (status == 429 && send_again (request, now))
+    return;
   if (status == 200 || status == 404 || status == 409 || status == 410) {
     state->last_served = now;
     state->failing_since = 0;
@@ -103,8 +124,6 @@
                 request->timeout_s, FALSE, on_done, request);
 }
 
-static void state_pump (FtState *state);
-
 static gboolean
 on_pump_timer (gpointer data)
 {
@@ -169,6 +188,7 @@
   request->method = g_strdup (method);
   request->path = path;
   request->body = json_incref ((json_t *) body);
+  request->priority = priority;
   request->writes = body != NULL ? (guint) json_array_size (json_object_get (body, "apply")) : 0;
   request->timeout_s = FT_STATE_TIMEOUT_S;
   request->done = done;
--- a/src/wire/store.c
+++ b/src/wire/store.c
@@ -467,21 +467,18 @@
 static void
 add_job_done (json_t *txn, const FtWrite *w, gint64 wall_ms)
 {
-  g_autofree char *job = ft_key_job (w->name), *open = ft_key_open (w->name), *chunk = key_chunk (w->name, 0);
+  g_autofree char *job = ft_key_job (w->name), *open = ft_key_open (w->name);
   ft_txn_if (txn, job, w->stamp);
   ft_txn_put (txn, job, ft_row_job_ended (FT_JOB_END_DONE, w->tasks, wall_ms));
   ft_txn_delete (txn, open);
-  if (w->chunk > 0)
-    ft_txn_delete (txn, chunk);
 }
 
 static void
 add_job_gone (json_t *txn, const FtWrite *w)
 {
-  g_autofree char *open = ft_key_open (w->name), *mark = ft_key_withdrawn (w->name), *chunk = key_chunk (w->name, 0);
+  g_autofree char *open = ft_key_open (w->name), *mark = ft_key_withdrawn (w->name);
   ft_txn_delete (txn, open);
   ft_txn_delete (txn, mark);
-  ft_txn_delete (txn, chunk);
 }
 
 static void
--- a/tests/test_program.cpp
+++ b/tests/test_program.cpp
@@ -318,6 +318,33 @@
   EXPECT_TRUE (finished (c.front[leader], "req-1", "done"));
 }
 
+// A rate far below the settings: nothing is lost, nobody loses the lease, and a cancellation is
+// told at once.
+TEST (Program, ARateBelowTheSettingsIsLearnedFromRefusals)
+{
+  Services services;
+  Controllers c (services);
+  for (size_t i = 0; i < 3; i++)
+    ASSERT_TRUE (c.ready (i));
+  Machine machine (c.front);
+  size_t leader = c.leader ();
+  ASSERT_LT (leader, 3u);
+  ASSERT_TRUE (wait_for ([&] { return call ("POST", c.front[0], "/work", job ("req-3", 1))->status < 300; }));
+  services.store.limit (0, 0, 8);
+  for (int i = 0; i < 10; i++) {
+    std::string ref = "req-5" + std::to_string (i);
+    EXPECT_TRUE (
+        wait_for ([&] { return call ("POST", c.front[i % 3], "/work", job (ref.c_str (), 1))->status < 300; }));
+  }
+  EXPECT_TRUE (finished (c.front[0], "req-3", "running"));
+  EXPECT_TRUE (
+      wait_for ([&] { return call ("POST", c.front[1], "/work/req-3/withdraw")->text ("standing") == "withdrawn"; }));
+  for (int i = 0; i < 10; i++)
+    EXPECT_TRUE (finished (c.front[0], ("req-5" + std::to_string (i)).c_str (), "done"));
+  EXPECT_GT (services.store.too_many, 0u);
+  EXPECT_EQ (c.leader (), leader);
+}
+
 // Limits that fall below the settings, which nobody announced: batches shrink, and work goes on.
 TEST (Program, ABatchRefusedAsInvalidIsNotRepeatedAsItIs)
 {
