--- a/review/src/world.hpp
+++ b/review/src/world.hpp
@@ -172,7 +172,8 @@
   bool deaf = false;       // answers and commands to it are lost
   bool mute = false;       // it reaches no controller
   double late_reports = 0;  // share of its reports of which a copy arrives again, 2 s to two leases later
-  double late_commands = 0; // share of the direct commands that are held up for 2 to 16 s, unanswered
+  double late_commands = 0; // share of the direct commands that are held up, unanswered, and carried out once, late
+  Seconds late_least = 2, late_most = 16;
   std::vector<std::function<void ()> > inbox; // what arrives while it hangs
   struct Task {
     std::string ref;
@@ -410,7 +411,8 @@
       return;
     }
     if (uniform (0, 1) < late_commands && json_array_size (json_object_get (ft_http_body (request), "orders")) > 0) {
-      after (uniform (2, 16), [this, request] {
+      record ("%s: a command is held up", name.c_str ());
+      after (uniform (late_least, late_most), [this, request] {
         json_t *body = json_incref ((json_t *) ft_http_body (request));
         if (alive && accepts (body)) {
           saw ((guint64) json_integer_value (json_object_get (body, "baton")));
@@ -532,7 +534,8 @@
   };
   std::vector<Rental> rentals;
   std::map<std::string, std::vector<std::string> > bookings;
-  int capacity; // machines at most
+  int capacity;                                  // machines at most
+  std::map<std::string, int> ordinary, loaners; // the same in each zone; empty: no such limits
   int next = 1;
   bool outage = false;
   std::vector<std::pair<Seconds, json_t *> > lists; // past lists, to answer with one that lags
@@ -554,6 +557,17 @@
   {
     return (int) std::count_if (rentals.begin (), rentals.end (), [] (const Rental &each) { return each.gone_at < 0; });
   }
+  // Whether the cloud has one more machine to give.
+  bool
+  has (const std::string &zone, bool spot) const
+  {
+    const auto &limits = spot ? loaners : ordinary;
+    auto limit = limits.find (zone);
+    auto rented = std::count_if (rentals.begin (), rentals.end (), [&] (const Rental &each) {
+      return each.gone_at < 0 && each.zone == zone && each.spot == spot;
+    });
+    return alive () < capacity && (limit == limits.end () || rented < limit->second);
+  }
   std::string
   rent (const std::string &zone, bool spot, Seconds boot_s)
   {
@@ -611,9 +625,9 @@
       if (bookings.count (booking) == 0) {
         std::vector<std::string> names;
         int wanted = (int) json_integer_value (json_object_get (body, "how_many"));
-        for (int i = 0; i < wanted && alive () < capacity; i++)
-          names.push_back (rent (text (body, "yard"), json_is_true (json_object_get (body, "loaners")),
-                                 world.site.ready_s * uniform (0.6, 1.5)));
+        bool spot = json_is_true (json_object_get (body, "loaners"));
+        for (int i = 0; i < wanted && has (text (body, "yard"), spot); i++)
+          names.push_back (rent (text (body, "yard"), spot, world.site.ready_s * uniform (0.6, 1.5)));
         if (names.empty ()) {
           ft_http_respond (request, 503, json_pack ("{s:s}", "error", "no capacity"));
           return;
