--- a/review/src/case2.cpp
+++ b/review/src/case2.cpp
@@ -1,18 +1,24 @@
-// Case 2: a packet filter between one controller, the leader, and the two others: they refuse each other's connections.
-// Is the leader replaced while its lease lasts, so that two act as the leader?
+// Case 2: some direct commands are held up for seconds while one-task jobs come and some are cancelled at once. Is there,
+// after that, a machine with room on which a job that waits for it is never started?
 #include "world.hpp"
 
 using namespace review;
 
 namespace {
 
-constexpr double kRefuseAt = 30;  // after the first answer of a leader
-constexpr double kRefuseFor = 20; // kit: peers_refuse, for_s = 20 to 40
+constexpr double kTroubleAt = 1; // after the first answer of a leader
+constexpr double kTroubleFor = 16;
+constexpr double kShare = 0.5;                     // of the direct commands
+constexpr double kLateLeast = 5.2, kLateMost = 7; // kit/more/hunt: 2 to 16 s late
+constexpr int kProbes = 20;                        // of one core each; two machines have 32
+constexpr double kWait = 90; // kit/more/hunt: "no job is left waiting for 90 s"
+const char *const kZone = "calgary"; // 2 ordinary machines at the start, and no more to be had
 
 Site
 site ()
 {
-  Site site; // Prairie Cradle, BRIEF
+  Site site; // Prairie Cradle, BRIEF and kit/sites
+  site.zones = { "regina-core", "saskatoon", "winnipeg", "calgary" };
   site.teams = { { "enrolment-office", 24, 80 }, { "finance-desk", 80, 256 }, { "centre-liaison", 64, 216 },
                  { "family-support", 40, 152 },  { "board-reporting", 40, 80 }, { "platform-crew", 32, 104 } };
   return site;
@@ -29,140 +35,127 @@
   std::vector<std::unique_ptr<User> > users;
   int next_ref = 100;
   bool trouble;
-  // The lease, as the state service sees it.
-  int holder = -1;
-  gint64 token = 0;
-  Seconds renewed_at = -1, lease_s = 0;
-  bool released = false;
-  // A holder that was replaced while its lease lasted, until it is clear that it has stepped down.
-  int former = -1;
-  gint64 former_token = 0;
-  Seconds replaced_at = -1, lease_left = 0;
-  int early_claims = 0, stale_answers = 0, stale_orders = 0, stale_starts = 0;
 
   Run (std::string folder_, bool trouble_)
       : folder (std::move (folder_)), controllers (deployment, folder, 3), state (deployment, 3),
         world (deployment, controllers), cloud (world, 28), balancer (controllers), trouble (trouble_)
   {
     controllers.write_settings (state, cloud.addresses ());
-    state.written = [this] (size_t i, const std::string &key, const json_t *data) { on_written ((int) i, key, data); };
-    world.obeyed = [this] (const std::string &machine, int node, guint64 baton, Seconds sent, int orders, int starts) {
-      on_obeyed (machine, node, (gint64) baton, sent, orders, starts);
-    };
+    // kit/sites/prairiecradle-regina.toml, [[capacity]]
+    cloud.ordinary = { { "regina-core", 3 }, { "saskatoon", 3 }, { "winnipeg", 3 }, { "calgary", 2 } };
+    cloud.loaners = { { "regina-core", 4 }, { "saskatoon", 4 }, { "winnipeg", 5 }, { "calgary", 4 } };
   }
-  void
-  on_written (int i, const std::string &key, const json_t *data)
-  {
-    if (key == "l/fence") {
-      gint64 raised = json_integer_value (json_object_get (data, "token"));
-      Seconds left = renewed_at + lease_s - now ();
-      record ("state service: hearth-%d takes the lease with token %d%s", i, (int) raised,
-              holder < 0 ? "" : released ? ", which was released" : "");
-      if (holder >= 0 && holder != i && !released && left > 0) {
-        record ("  hearth-%d renewed it %.2f s ago for %.1f s: %.2f s are left", holder, now () - renewed_at, lease_s, left);
-        early_claims++;
-        former = holder;
-        former_token = token;
-        replaced_at = now ();
-        lease_left = left;
-      }
-      holder = i;
-      token = raised;
-    } else if (key == "l/renewal") {
-      renewed_at = now ();
-      lease_s = number (data, "lease_ms") / 1000;
-      released = json_is_true (json_object_get (data, "released"));
-    }
-  }
-  // A worker has obeyed a controller. Whoever it was, the baton says for which leadership it spoke.
-  void
-  on_obeyed (const std::string &machine, int node, gint64 baton, Seconds sent, int orders, int starts)
-  {
-    // What was sent before the claim was answered, or within the time that a message takes, does not count.
-    if (former < 0 || baton != former_token || sent < replaced_at + 0.1)
-      return;
-    record ("  %s obeys %s with the former baton %d, %.2f s after the claim: %d orders, %d of them starts",
-            machine.c_str (), node < 0 ? "a direct command" : ("the 200 of hearth-" + std::to_string (node)).c_str (),
-            (int) baton, now () - replaced_at, orders, starts);
-    stale_answers++;
-    stale_orders += orders;
-    stale_starts += starts;
-  }
-  // The classes of the site, as BRIEF gives them.
-  struct Class {
-    const char *lane;
-    std::vector<const char *> teams;
-    const char *urgency;
-    int least, most; // tasks
-    double cores, mem_gb, run_s, pull_gb, a_minute;
-    int at_start;
-  };
-  void
-  submit (const Class &kind)
+  User &
+  submit (const char *lane, double cores, double mem_gb, double run_s)
   {
     g_autofree char *ref = g_strdup_printf ("req-%06d", next_ref++);
     Job &job = world.jobs[ref];
     job.ref = ref;
-    job.lane = kind.lane;
-    job.team = kind.teams[(size_t) next_ref % kind.teams.size ()];
-    job.urgency = kind.urgency;
-    job.pieces = g_rand_int_range (random_source (), kind.least, kind.most + 1);
-    job.cores = kind.cores;
-    job.mem_gb = kind.mem_gb;
-    job.bundle = std::string ("img-") + kind.lane;
-    job.pull_gb = kind.pull_gb;
-    job.guess_s = job.run_s = kind.run_s;
-    job.due_s = 3 * kind.run_s + 10;
+    job.lane = lane;
+    job.team = "platform-crew";
+    job.urgency = "high";
+    job.cores = cores;
+    job.mem_gb = mem_gb;
+    job.bundle = std::string ("img-") + lane;
+    job.pull_gb = 0.3;
+    job.guess_s = job.run_s = run_s;
+    job.yard = kZone;
+    job.loaners = false;
     users.push_back (std::make_unique<User> (world, balancer, ref));
     users.back ()->submit ();
+    return *users.back ();
   }
+  // One-task jobs, four a second, here eight every two seconds; a quarter of them cancelled, at once.
   void
-  arrive (const Class &kind, Seconds until)
+  arrive (Seconds until)
   {
     if (now () > until)
       return;
-    submit (kind);
-    after (60 / kind.a_minute * uniform (0.7, 1.3), [this, &kind, until] { arrive (kind, until); });
+    for (int i = 0; i < 8; i++) {
+      User &user = submit ("form-validation", 0.25, 0.9, uniform (12, 24));
+      if (i % 4 == 0)
+        user.on_accepted = [&user] { after (uniform (0.05, 0.2), [&user] { user.withdraw (); }); };
+    }
+    after (2, [this, until] { arrive (until); });
+  }
+  void
+  set_late (double share)
+  {
+    for (auto &[name, worker] : world.workers) {
+      worker->late_commands = share;
+      worker->late_least = kLateLeast;
+      worker->late_most = kLateMost;
+    }
+  }
+  // The machines on which the job may run and that have room for it.
+  int
+  with_room (const Job &job) const
+  {
+    int count = 0;
+    for (const auto &[name, worker] : world.workers) {
+      double cores = deployment.cores, mem = deployment.mem_gb;
+      for (const Worker::Task &task : worker->tasks)
+        if (task.standing != "exited") {
+          cores -= world.jobs.at (task.ref).cores;
+          mem -= world.jobs.at (task.ref).mem_gb;
+        }
+      count += worker->alive && !worker->spot && worker->zone == job.yard && cores >= job.cores && mem >= job.mem_gb;
+    }
+    return count;
   }
-  const std::vector<Class> classes = {
-    { "waitlist-rank", { "centre-liaison", "family-support" }, "normal", 2, 10, 8, 27, 70, 4, 3.5, 1 },
-    { "offer-letters", { "board-reporting", "platform-crew" }, "high", 10, 51, 1, 2.4, 18, 1.2, 9.9, 4 },
-    { "attendance-rollup", { "enrolment-office", "finance-desk" }, "normal", 4, 27, 4, 11, 50, 1.5, 3.7, 2 },
-  };
   int
   play ()
   {
     for (size_t i = 0; i < 3; i++)
       controllers.start (i);
-    for (int i = 0; i < 9; i++)
-      cloud.rent (deployment.zones[(size_t) i % 2], false, 0);
+    for (const char *zone : { "regina-core", "regina-core", "saskatoon", "saskatoon", "winnipeg", "winnipeg", "winnipeg",
+                              "calgary", "calgary" })
+      cloud.rent (zone, false, 0);
     if (controllers.leader () < 0)
       return 2;
-    for (const Class &kind : classes) {
-      for (int i = 0; i < kind.at_start; i++)
-        submit (kind);
-      after (uniform (1, 6), [this, &kind] { arrive (kind, 60); });
-    }
-    run_for (kRefuseAt);
-    int leader = controllers.leader ();
-    if (leader < 0 || leader != holder)
-      return 2;
+    Seconds begun = now ();
+    after (0.5, [this, begun] { arrive (begun + kTroubleAt + kTroubleFor); });
+    run_for (kTroubleAt);
     if (trouble) {
-      record ("a packet filter between hearth-%d and the others: connections are refused", leader);
-      controllers.cut_peers ((size_t) leader, 1);
+      record ("direct commands are held up from now on");
+      set_late (kShare);
     }
-    run_for (kRefuseFor);
-    if (trouble) {
-      record ("the filter is gone");
-      controllers.cut_peers ((size_t) leader, 0);
+    run_for (kTroubleFor);
+    set_late (0);
+    record ("no more commands are held up; the last one is carried out within %.0f s", kLateMost);
+    run_for (kLateMost + 0.5);
+    // Troubles are over. What still waits or comes now fits on the two machines of the zone.
+    std::vector<std::string> probes;
+    for (int i = 0; i < kProbes; i++)
+      probes.push_back (submit ("offer-letters", 1, 2.4, 130).ref);
+    record ("troubles are over; %d jobs of one task, %s to %s, ask for a machine of %s", kProbes, probes.front ().c_str (),
+            probes.back ().c_str (), kZone);
+    // For how long some have waited while a machine had room for them and the team was under its limit.
+    Seconds waiting_since = -1, waited = 0;
+    int left = 0;
+    for (Seconds end = now () + kWait + 3; now () < end && waited <= kWait;) {
+      run_for (0.5);
+      left = 0;
+      for (const std::string &ref : probes)
+        left += world.jobs.at (ref).accepted && world.jobs.at (ref).finished.empty () && world.on[ref + "/0"].empty ();
+      bool room = with_room (world.jobs.at (probes[0])) > 0
+                  && world.team_use["platform-crew"] + 1 <= world.limit_of ("platform-crew");
+      if (!room || left == 0)
+        waiting_since = -1;
+      else if (waiting_since < 0)
+        waiting_since = now ();
+      waited = waiting_since < 0 ? 0 : now () - waiting_since;
+      if (left == 0 && now () > end - kWait + 5)
+        break;
     }
-    run_for (10);
-    record ("%d times a controller took the lease while it lasted; then the former holder was obeyed %d times, "
-            "with %d orders, %d of them starts; %d starts in all",
-            early_claims, stale_answers, stale_orders, stale_starts, world.starts);
+    for (const auto &[name, worker] : world.workers)
+      if (worker->zone == kZone)
+        record ("%s: %s, %zu tasks in its report", name.c_str (), worker->alive ? "up" : "gone", worker->tasks.size ());
+    record ("%d of %d jobs wait, after %.1f s in which a machine of %s had room and their team was under its limit", left,
+            kProbes, waited, kZone);
     for (const Broken &each : world.broken)
       record ("also seen: %s: %s", each.rule.c_str (), each.what.c_str ());
-    return early_claims > 0 && stale_answers > 0 ? 1 : 0;
+    return left > 0 && waited > kWait ? 1 : 0;
   }
 };
 
