Show operators which of its marks keeps a machine from work

From outside a quarantine that is never ended could not be told from faulty tasks, a machine that does not receive, an expired lease or a leaked reservation.

Change: the reasons for a quarantine are kept apart, the one for a start in doubt is logged as a warning, and each condition of "usable" has a text of its own. ft_machine_usable() and the text come from the same function, so they cannot differ. The leader's metrics show up_machines, unused_machines and quarantined_machines. The starts in doubt move from machine_eviction.c to a module of their own. What the scheduler decides is the same.

--- a/src/core/attempt_lifecycle.c
+++ b/src/core/attempt_lifecycle.c
@@ -95,7 +95,7 @@
 ft_attempt_direct_start_unanswered (FtAttempt *attempt)
 {
   attempt->direct_start = FT_DIRECT_START_UNANSWERED;
-  attempt->machine->fitness.start_in_doubt = TRUE;
+  attempt->machine->fitness.start_unanswered = TRUE;
 }
 
 /* Returns whether no start of the attempt can be executed any more: no start was sent, or starts were sent in direct
--- a/src/core/explain.c
+++ b/src/core/explain.c
@@ -21,15 +21,21 @@
 const char *
 ft_explain_unused (const FtMachine *machine)
 {
-  if (machine->fitness.drained)
-    return "drained by an operator";
-  if (machine->fitness.quarantined)
-    return "tasks failed on it that were not to blame";
-  if (machine->notice_until > 0)
-    return "the cloud takes it back";
-  if (!machine->reconciled)
-    return "not heard from since the takeover";
-  if (machine->state == FT_MACHINE_UP && !machine->registered)
-    return "not yet in the roster";
-  return ft_machine_usable (machine) ? "" : "not up";
+  static const char *const texts[] = {
+    [FT_UNUSED_NONE] = "",
+    [FT_UNUSED_DRAINED] = "drained by an operator",
+    [FT_UNUSED_FAULTY] = "tasks failed on it that were not to blame",
+    [FT_UNUSED_START_IN_DOUBT] = "a cancelled start may still be executed on it",
+    [FT_UNUSED_NOTICE] = "the cloud takes it back",
+    [FT_UNUSED_UNRECONCILED] = "not heard from since the takeover",
+    [FT_UNUSED_NOT_UP] = "not up",
+    [FT_UNUSED_UNREGISTERED] = "not yet in the roster",
+    [FT_UNUSED_TYPE_UNKNOWN] = "its type is not in the cloud's catalog",
+    [FT_UNUSED_EXPIRED] = "its worker lease has run out",
+    [FT_UNUSED_TOKEN_UNSEEN] = "it has not acknowledged the leader's token",
+    [FT_UNUSED_NOT_RECEIVING] = "it does not receive our answers",
+    [FT_UNUSED_NOT_REPORTING] = "its heartbeats reach no controller",
+    [FT_UNUSED_OVERDUE] = "its heartbeat is overdue",
+  };
+  return texts[ft_machine_unused_reason (machine)];
 }
--- a/src/core/fault.c
+++ b/src/core/fault.c
@@ -53,17 +53,11 @@
   return machine->fitness.last_failed != job->revision;
 }
 
-static gboolean
-is_quarantined (const FtMachine *machine)
-{
-  return machine->fitness.quarantined;
-}
-
 /* Returns whether another machine may be quarantined. Most machines must stay in use even if the detection is wrong. */
 static gboolean
 may_quarantine_one_more (const FtMachineTable *table)
 {
-  guint quarantined = ft_machine_table_count (table, is_quarantined);
+  guint quarantined = ft_machine_table_count (table, ft_machine_is_quarantined);
   return quarantined < MAX (FT_QUARANTINE_MIN, FT_QUARANTINE_SHARE * g_hash_table_size (table->machines));
 }
 
@@ -77,11 +71,11 @@
   if (counts_against_machine (job, machine))
     machine->fitness.faults++;
   machine->fitness.last_failed = job->revision;
-  if (machine->fitness.quarantined || !ft_fault_is_faulty (machine) || !may_quarantine_one_more (table))
+  if (!ft_fault_is_faulty (machine) || !(ft_machine_is_quarantined (machine) || may_quarantine_one_more (table)))
     return;
-  machine->fitness.quarantined = TRUE;
-  g_warning ("machine %s: quarantined (faulty: %u task failures in a row count against the machine)", machine->name,
-             machine->fitness.faults);
+  if (ft_machine_set_quarantined (machine, FT_QUARANTINED_FAULTY, TRUE))
+    g_warning ("machine %s: quarantined (faulty: %u task failures in a row count against the machine)", machine->name,
+               machine->fitness.faults);
 }
 
 void
--- a/src/core/machine.c
+++ b/src/core/machine.c
@@ -139,14 +139,78 @@
   return machine->state == FT_MACHINE_UP || machine->state == FT_MACHINE_SILENT;
 }
 
+gboolean
+ft_machine_set_quarantined (FtMachine *machine, FtQuarantineReason reason, gboolean quarantined)
+{
+  FtMachineFitness *fitness = &machine->fitness;
+  if (((fitness->quarantine & reason) != 0) == quarantined)
+    return FALSE;
+  fitness->quarantine ^= reason;
+  machine->context->placement_due = TRUE;
+  return TRUE;
+}
+
+gboolean
+ft_machine_is_quarantined (const FtMachine *machine)
+{
+  return machine->fitness.quarantine != 0;
+}
+
+/* Returns the reason in the machine's fitness or in what the cloud has announced. */
+static FtUnusedReason
+reason_unfit (const FtMachine *machine)
+{
+  const FtMachineFitness *fitness = &machine->fitness;
+  if (fitness->drained)
+    return FT_UNUSED_DRAINED;
+  if (fitness->quarantine & FT_QUARANTINED_FAULTY)
+    return FT_UNUSED_FAULTY;
+  if (fitness->quarantine & FT_QUARANTINED_START_IN_DOUBT)
+    return FT_UNUSED_START_IN_DOUBT;
+  return machine->notice_until != 0 ? FT_UNUSED_NOTICE : FT_UNUSED_NONE;
+}
+
+/* Returns the reason in what this leader knows about the machine. */
+static FtUnusedReason
+reason_incomplete (const FtMachine *machine)
+{
+  if (!machine->reconciled)
+    return FT_UNUSED_UNRECONCILED;
+  if (machine->state != FT_MACHINE_UP)
+    return FT_UNUSED_NOT_UP;
+  if (!machine->registered)
+    return FT_UNUSED_UNREGISTERED;
+  return machine->type == NULL ? FT_UNUSED_TYPE_UNKNOWN : FT_UNUSED_NONE;
+}
+
+/* Returns the reason in the messages between the machine and this leader. */
+static FtUnusedReason
+reason_unreachable (const FtMachine *machine)
+{
+  if (machine->incarnation <= machine->expired_incarnation)
+    return FT_UNUSED_EXPIRED;
+  if (!machine->reachability.acknowledged_token)
+    return FT_UNUSED_TOKEN_UNSEEN;
+  if (ft_machine_not_receiving (machine))
+    return FT_UNUSED_NOT_RECEIVING;
+  if (ft_machine_not_reporting (machine))
+    return FT_UNUSED_NOT_REPORTING;
+  return ft_reachability_recent (&machine->reachability, machine->context) ? FT_UNUSED_NONE : FT_UNUSED_OVERDUE;
+}
+
+FtUnusedReason
+ft_machine_unused_reason (const FtMachine *machine)
+{
+  FtUnusedReason reason = reason_unfit (machine);
+  if (reason == FT_UNUSED_NONE)
+    reason = reason_incomplete (machine);
+  return reason == FT_UNUSED_NONE ? reason_unreachable (machine) : reason;
+}
+
 gboolean
 ft_machine_usable (const FtMachine *machine)
 {
-  gboolean complete = machine->registered && machine->reconciled && machine->type != NULL;
-  gboolean fit = !machine->fitness.drained && !machine->fitness.quarantined && machine->notice_until == 0;
-  return machine->state == FT_MACHINE_UP && complete && fit && machine->incarnation > machine->expired_incarnation
-         && machine->reachability.acknowledged_token && !ft_machine_not_receiving (machine)
-         && !ft_machine_not_reporting (machine) && ft_reachability_recent (&machine->reachability, machine->context);
+  return ft_machine_unused_reason (machine) == FT_UNUSED_NONE;
 }
 
 gboolean
--- a/src/core/machine.h
+++ b/src/core/machine.h
@@ -55,17 +55,41 @@
   gint64 return_at;               /* earliest time of the next cloud call to return the machine, in microseconds */
 } FtMachineRequests;
 
+/* Reasons for a quarantine, as bits. A machine may be quarantined for several reasons at once. */
+typedef enum {
+  FT_QUARANTINED_FAULTY = 1 << 0,         /* too many failures count against the machine; see fault.h */
+  FT_QUARANTINED_START_IN_DOUBT = 1 << 1, /* a cancelled start got no answer for too long; see start_in_doubt.h */
+} FtQuarantineReason;
+
 /* Reasons against new starts on a machine, beside its state and its reachability. They are independent of each other:
- * an operator may drain a machine that is quarantined, and neither `start_in_doubt` nor a single fault quarantines a
+ * an operator may drain a machine that is quarantined, and neither `start_unanswered` nor a single fault quarantines a
  * machine. */
 typedef struct {
-  gboolean drained;        /* an operator has drained the machine; the machine table keeps the name as well */
-  gboolean quarantined;    /* the machine is faulty, or a cancelled start got no answer for too long; never revoked */
-  gboolean start_in_doubt; /* a direct start of this incarnation got no answer and may be executed late */
-  guint faults;            /* failures in a row that count against the machine; see fault.h */
-  guint64 last_failed;     /* revision of the job whose task last failed here; 0: no failure since a task completed */
+  gboolean drained;          /* an operator has drained the machine; the machine table keeps the name as well */
+  guint quarantine;          /* set of FtQuarantineReason; changed by ft_machine_set_quarantined() only */
+  gboolean start_unanswered; /* a direct start of this incarnation got no answer and may be executed late */
+  guint faults;              /* failures in a row that count against the machine; see fault.h */
+  guint64 last_failed;       /* revision of the job whose task last failed here; 0: no failure since a task completed */
 } FtMachineFitness;
 
+/* Why no new work may be started on a machine. */
+typedef enum {
+  FT_UNUSED_NONE,           /* new work may be started on the machine */
+  FT_UNUSED_DRAINED,        /* an operator has drained it */
+  FT_UNUSED_FAULTY,         /* it is quarantined as FT_QUARANTINED_FAULTY */
+  FT_UNUSED_START_IN_DOUBT, /* it is quarantined as FT_QUARANTINED_START_IN_DOUBT */
+  FT_UNUSED_NOTICE,         /* the cloud has announced that it takes the machine back */
+  FT_UNUSED_UNRECONCILED,   /* this leader does not know yet what runs on it */
+  FT_UNUSED_NOT_UP,         /* it is not in FT_MACHINE_UP */
+  FT_UNUSED_UNREGISTERED,   /* no committed registry row names it */
+  FT_UNUSED_TYPE_UNKNOWN,   /* the catalog does not have its type */
+  FT_UNUSED_EXPIRED,        /* its worker lease has run out */
+  FT_UNUSED_TOKEN_UNSEEN,   /* it has not acknowledged this leader's fencing token */
+  FT_UNUSED_NOT_RECEIVING,  /* neither answers nor commands seem to reach it */
+  FT_UNUSED_NOT_REPORTING,  /* its heartbeats reach no controller */
+  FT_UNUSED_OVERDUE,        /* its last status is too old */
+} FtUnusedReason;
+
 struct _FtMachine {
   FtCoreContext *context;  /* borrowed */
   FtMachineQueues *queues; /* borrowed */
@@ -129,6 +153,16 @@
 /* Whether the machine should be sending heartbeats: it has been up, and is not being returned. */
 gboolean ft_machine_should_report (const FtMachine *machine);
 
+/* Quarantines the machine for the reason, or ends the quarantine for that reason. Returns TRUE if this is a change; the
+ * caller then logs it. */
+gboolean ft_machine_set_quarantined (FtMachine *machine, FtQuarantineReason reason, gboolean quarantined);
+
+/* Whether the machine is quarantined, for any reason. */
+gboolean ft_machine_is_quarantined (const FtMachine *machine);
+
+/* Returns the first reason why no new work may be started on the machine now. */
+FtUnusedReason ft_machine_unused_reason (const FtMachine *machine);
+
 /* Whether new work may be started on the machine now. */
 gboolean ft_machine_usable (const FtMachine *machine);
 
--- a/src/core/machine_eviction.c
+++ b/src/core/machine_eviction.c
@@ -1,6 +1,7 @@
 #include "core/machine_eviction.h"
 
 #include "core/fault.h"
+#include "core/start_in_doubt.h"
 
 typedef struct {
   guint reporting; /* machines that are up, receive our answers and send heartbeats */
@@ -189,50 +190,11 @@
   return machine->state == FT_MACHINE_BOOTING && machine->context->now - machine->launched_at > limit;
 }
 
-/* Returns the age in seconds of the oldest attempt on the machine whose direct start got no answer and which has been
- * cancelled; 0: there is none. Sets `*others` to whether another attempt on the machine has not exited, or has a
- * result that is not committed. */
-static double
-unanswered_start_age_s (const FtMachine *machine, gboolean *others)
-{
-  double age_s = 0;
-  GHashTableIter it;
-  gpointer value;
-  *others = FALSE;
-  g_hash_table_iter_init (&it, machine->attempts);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
-    const FtAttempt *attempt = value;
-    gboolean in_doubt = attempt->state == FT_ATTEMPT_PLACED && attempt->direct_start == FT_DIRECT_START_UNANSWERED
-                        && ft_attempt_stop_requested (attempt);
-    if (in_doubt)
-      age_s = MAX (age_s, (double) (machine->context->now - attempt->placed_at) / FT_SECOND);
-    else
-      *others |= !ft_attempt_has_exited (attempt) || attempt->bound;
-  }
-  return age_s;
-}
-
-/* Whether to return the machine because a cancelled start may still be executed on it. A direct start that got no
- * answer may be executed late, as long as the machine's incarnation lasts. The machine is quarantined first, and
- * returned when it has no other work or the start has been in doubt for too long. */
-static gboolean
-must_return_for_doubt (FtMachine *machine)
-{
-  gboolean others;
-  if (!machine->fitness.start_in_doubt)
-    return FALSE; /* this holds for nearly all machines, so that their attempts are not examined */
-  double age_s = unanswered_start_age_s (machine, &others);
-  if (age_s <= FT_START_IN_DOUBT_QUARANTINE_S)
-    return FALSE;
-  machine->fitness.quarantined = TRUE;
-  return !others || age_s > FT_START_IN_DOUBT_SCALE_IN_SHARE * machine->context->settings->cancel_s;
-}
-
 /* Whether the machine is faulty and idle. Tasks that were started before the machine became faulty may complete. */
 static gboolean
 faulty_and_idle (const FtMachine *machine)
 {
-  return machine->fitness.quarantined && machine->reconciled && ft_fault_is_faulty (machine)
+  return (machine->fitness.quarantine & FT_QUARANTINED_FAULTY) && machine->reconciled && ft_fault_is_faulty (machine)
          && ft_machine_idle (machine);
 }
 
@@ -249,7 +211,7 @@
     ft_machine_terminate (machine, lost_reason);
   } else if (boot_failed (machine)) {
     ft_machine_terminate (machine, "did not boot in time");
-  } else if (must_return_for_doubt (machine)) {
+  } else if (ft_start_in_doubt_check (machine)) {
     ft_machine_terminate (machine, "a cancelled start may still be executed");
   } else if (faulty_and_idle (machine)) {
     ft_machine_terminate (machine, "faulty");
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -152,6 +152,14 @@
 GStrv ft_scheduler_job_dependents (const FtScheduler *scheduler, const char *ref);
 /* Counts the open jobs that are not being cancelled, and those among them that wait for dependencies. */
 void ft_scheduler_count_jobs (const FtScheduler *scheduler, guint *open, guint *waiting);
+/* The machines that are up, as operators see them. */
+typedef struct {
+  guint up;          /* machines whose heartbeats arrive */
+  guint unused;      /* of those, machines that may get no new work */
+  guint quarantined; /* of those, machines that are quarantined */
+} FtMachineCounts;
+/* Counts the machines that are up. */
+FtMachineCounts ft_scheduler_count_machines (const FtScheduler *scheduler);
 /* The strings are borrowed. `unused_why`: why the machine gets no new tasks; empty: it may get some. */
 typedef void (*FtMachineVisitor) (const char *name, const char *state, const char *type, const char *zone,
                                   gboolean spot, guint64 incarnation, guint tasks, const char *unused_why,
--- a/src/core/scheduler_operators.c
+++ b/src/core/scheduler_operators.c
@@ -47,6 +47,24 @@
   }
 }
 
+FtMachineCounts
+ft_scheduler_count_machines (const FtScheduler *scheduler)
+{
+  FtMachineCounts counts = { 0 };
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, scheduler->machine_table.machines);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    const FtMachine *machine = value;
+    if (machine->state != FT_MACHINE_UP)
+      continue;
+    counts.up++;
+    counts.unused += !ft_machine_usable (machine);
+    counts.quarantined += ft_machine_is_quarantined (machine);
+  }
+  return counts;
+}
+
 void
 ft_scheduler_each_machine (FtScheduler *scheduler, FtMachineVisitor visit, gpointer data)
 {
--- /dev/null
+++ b/src/core/start_in_doubt.c
@@ -0,0 +1,51 @@
+#include "core/start_in_doubt.h"
+
+#include "core/attempt.h"
+#include "core/constants.h"
+
+/* The attempts on a machine, as far as starts in doubt are concerned. */
+typedef struct {
+  guint in_doubt;     /* attempts whose start is in doubt */
+  double age_s;       /* time since the oldest of them was placed; 0: there is none */
+  gboolean busy_else; /* another attempt has not exited, or has a result that is not committed */
+} StartsInDoubt;
+
+static gboolean
+is_in_doubt (const FtAttempt *attempt)
+{
+  return attempt->state == FT_ATTEMPT_PLACED && attempt->direct_start == FT_DIRECT_START_UNANSWERED
+         && ft_attempt_stop_requested (attempt);
+}
+
+static StartsInDoubt
+examine_attempts (const FtMachine *machine)
+{
+  StartsInDoubt starts = { 0 };
+  GHashTableIter it;
+  gpointer value;
+  if (!machine->fitness.start_unanswered)
+    return starts; /* this holds for nearly all machines, so that their attempts are not examined */
+  g_hash_table_iter_init (&it, machine->attempts);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    const FtAttempt *attempt = value;
+    if (is_in_doubt (attempt)) {
+      starts.in_doubt++;
+      starts.age_s = MAX (starts.age_s, (double) (machine->context->now - attempt->placed_at) / FT_SECOND);
+    } else {
+      starts.busy_else |= !ft_attempt_has_exited (attempt) || attempt->bound;
+    }
+  }
+  return starts;
+}
+
+gboolean
+ft_start_in_doubt_check (FtMachine *machine)
+{
+  StartsInDoubt starts = examine_attempts (machine);
+  if (starts.age_s <= FT_START_IN_DOUBT_QUARANTINE_S)
+    return FALSE;
+  if (ft_machine_set_quarantined (machine, FT_QUARANTINED_START_IN_DOUBT, TRUE))
+    g_warning ("machine %s: quarantined (%u cancelled starts got no answer and may still be executed)", machine->name,
+               starts.in_doubt);
+  return !starts.busy_else || starts.age_s > FT_START_IN_DOUBT_SCALE_IN_SHARE * machine->context->settings->cancel_s;
+}
--- a/src/core/worker_heartbeats.c
+++ b/src/core/worker_heartbeats.c
@@ -43,7 +43,7 @@
   }
   machine->incarnation = incarnation;
   ft_reachability_new_incarnation (&machine->reachability);
-  machine->fitness.start_in_doubt = FALSE;
+  machine->fitness.start_unanswered = FALSE;
 }
 
 /* ---- reachability ---- */
--- a/src/net/admin_status.c
+++ b/src/net/admin_status.c
@@ -178,16 +178,26 @@
 
 /* ---- metrics ---- */
 
+/* Adds the numbers of jobs and machines that the leader knows now. */
+static void
+add_leader_counts (const FtScheduler *scheduler, json_t *counters)
+{
+  guint open, waiting;
+  ft_scheduler_count_jobs (scheduler, &open, &waiting);
+  FtMachineCounts machines = ft_scheduler_count_machines (scheduler);
+  json_object_set_new (counters, "open_jobs", json_integer (open));
+  json_object_set_new (counters, "waiting_jobs", json_integer (waiting));
+  json_object_set_new (counters, "up_machines", json_integer (machines.up));
+  json_object_set_new (counters, "unused_machines", json_integer (machines.unused));
+  json_object_set_new (counters, "quarantined_machines", json_integer (machines.quarantined));
+}
+
 void
 ft_admin_get_metrics (FtNode *node, FtHttpRequest *request)
 {
   json_t *body = ft_metrics_body (node->metrics), *counters = json_object_get (body, "counters");
-  FtScheduler *scheduler = ft_leader_scheduler (node->leader);
-  if (scheduler != NULL) {
-    guint open, waiting;
-    ft_scheduler_count_jobs (scheduler, &open, &waiting);
-    json_object_set_new (counters, "open_jobs", json_integer (open));
-    json_object_set_new (counters, "waiting_jobs", json_integer (waiting));
-  }
+  const FtScheduler *scheduler = ft_leader_scheduler (node->leader);
+  if (scheduler != NULL)
+    add_leader_counts (scheduler, counters);
   ft_http_respond (request, FT_HTTP_OK, body);
 }
--- a/tests/test_fault.cpp
+++ b/tests/test_fault.cpp
@@ -67,7 +67,7 @@
   {
     guint n = 0;
     for (guint i = 0; i < machines; i++)
-      n += at (i)->fitness.quarantined;
+      n += ft_machine_is_quarantined (at (i));
     return n;
   }
 };
@@ -80,9 +80,9 @@
   fleet.add_job ("req-1", 10, 5);
   fleet.report_status ("req-1", 0, 1, FT_TASK_PHASE_EXITED, FT_EXIT_DONE);
   fleet.fail ("req-1", 1, 0);
-  EXPECT_FALSE (fleet.at (0)->fitness.quarantined) << "a single failure must not quarantine a machine";
+  EXPECT_FALSE (ft_machine_is_quarantined (fleet.at (0))) << "a single failure must not quarantine a machine";
   fleet.fail ("req-1", 2, 0);
-  EXPECT_TRUE (fleet.at (0)->fitness.quarantined);
+  EXPECT_TRUE (ft_machine_is_quarantined (fleet.at (0)));
   EXPECT_EQ (fleet.quarantined (), 1u);
 }
 
@@ -94,7 +94,7 @@
   fleet.now += (gint64) ((FT_FAULT_MARGIN_S + 1) * kS);
   for (guint task : { 1, 2 })
     fleet.fail ("req-1", task, 0);
-  EXPECT_TRUE (fleet.at (0)->fitness.quarantined);
+  EXPECT_TRUE (ft_machine_is_quarantined (fleet.at (0)));
 }
 
 TEST (Fault, JobsThatFailOnEveryMachineQuarantineFewMachines)
@@ -149,7 +149,7 @@
     ft_fault_task_failed (&fleet.scheduler->machine_table, started);
     ft_attempt_end (started);
   }
-  ASSERT_TRUE (fleet.at (0)->fitness.quarantined);
+  ASSERT_TRUE (ft_machine_is_quarantined (fleet.at (0)));
   EXPECT_FALSE (ft_machine_usable (fleet.at (0)));
   ft_scheduler_tick (fleet.scheduler, fleet.now, FALSE);
   EXPECT_EQ (fleet.at (0)->state, FT_MACHINE_UP) << "a machine must not be terminated while a task runs on it";
--- a/tests/test_module_attempt.cpp
+++ b/tests/test_module_attempt.cpp
@@ -67,11 +67,11 @@
   EXPECT_EQ (attempt->direct_start, FT_DIRECT_START_IN_FLIGHT);
   ft_attempt_direct_start_answered (attempt);
   EXPECT_EQ (attempt->direct_start, FT_DIRECT_START_ANSWERED);
-  EXPECT_FALSE (machine->fitness.start_in_doubt);
+  EXPECT_FALSE (machine->fitness.start_unanswered);
   ft_attempt_direct_start_unanswered (attempt);
   ft_attempt_direct_start_answered (attempt);
   EXPECT_EQ (attempt->direct_start, FT_DIRECT_START_UNANSWERED);
-  EXPECT_TRUE (machine->fitness.start_in_doubt);
+  EXPECT_TRUE (machine->fitness.start_unanswered);
 }
 
 // ---- the end of an attempt ----
