A quarantine for a start in doubt ends with the doubt

Each machine of the zone on which a cancelled start had once been in doubt for 5 s got no work any more and was not returned, until the leader changed.

Cause: the mark was set when the doubt began to last and never taken back. If the late command was carried out before half of cancel_s, its task was reported and stopped, and the doubt was over; what returns a machine then looks for a doubt or for faults, and found neither. A new incarnation did not end the mark either.

Change: on each tick the quarantine is set or ended by whether a start is in doubt now. The doubt itself lasts as before: it ends when a status shows the attempt or the incarnation is over, not with a heartbeat that does not show it. From then on the worker remembers the attempt, since the start of an attempt with an unanswered direct command is never forgotten, and ignores further copies; and half of cancel_s after the start the machine is terminated as before. So no cancelled start can be executed unseen.

--- a/src/core/start_in_doubt.c
+++ b/src/core/start_in_doubt.c
@@ -38,14 +38,28 @@
   return starts;
 }
 
+/* Quarantines the machine while a start has been in doubt for too long, and no longer: the doubt ends when a status
+ * shows the attempt, or when the incarnation is over. */
+static void
+update_quarantine (FtMachine *machine, const StartsInDoubt *starts)
+{
+  gboolean overdue = starts->age_s > FT_START_IN_DOUBT_QUARANTINE_S;
+  if (!ft_machine_set_quarantined (machine, FT_QUARANTINED_START_IN_DOUBT, overdue))
+    return;
+  if (overdue)
+    g_warning ("machine %s: quarantined (%u cancelled starts got no answer and may still be executed)", machine->name,
+               starts->in_doubt);
+  else
+    g_message ("machine %s: quarantine ended (no cancelled start is in doubt)", machine->name);
+}
+
 gboolean
 ft_start_in_doubt_check (FtMachine *machine)
 {
   StartsInDoubt starts = examine_attempts (machine);
+  update_quarantine (machine, &starts);
   if (starts.age_s <= FT_START_IN_DOUBT_QUARANTINE_S)
     return FALSE;
-  if (ft_machine_set_quarantined (machine, FT_QUARANTINED_START_IN_DOUBT, TRUE))
-    g_warning ("machine %s: quarantined (%u cancelled starts got no answer and may still be executed)", machine->name,
-               starts.in_doubt);
-  return !starts.busy_else || starts.age_s > FT_START_IN_DOUBT_SCALE_IN_SHARE * machine->context->settings->cancel_s;
+  return !starts.busy_else
+         || starts.age_s > FT_START_IN_DOUBT_SCALE_IN_SHARE * machine->context->settings->cancel_s;
 }
--- /dev/null
+++ b/tests/test_start_in_doubt.cpp
@@ -0,0 +1,83 @@
+// Starts in doubt: how long a machine gets no new work because a cancelled start may still be executed on it.
+#include "start_in_doubt.hpp"
+
+namespace {
+
+// Guards against a machine that gets no work and is not returned for good, because its quarantine outlasted the doubt:
+// the late start was executed, reported and stopped, and jobs waited beside the empty machine.
+TEST (StartInDoubt, QuarantineEndsWhenTheLateStartIsReportedAndStopped)
+{
+  StartInDoubt harness;
+  harness.run_until_quarantined ();
+  ft_scheduler_job_added (harness.scheduler, new_job_spec ("req-3", 1), 7, harness.now, 0);
+  harness.now += kS;
+  EXPECT_EQ (harness.report ({ harness.other () }), 0u) << "a machine with a start in doubt must not get work";
+  harness.now += kS;
+  harness.report ({ harness.other (), task_status ("req-1", 0, harness.in_doubt, FT_TASK_PHASE_RUNNING) });
+  FtTaskStatus stopped = task_status ("req-1", 0, harness.in_doubt, FT_TASK_PHASE_EXITED, FT_EXIT_STOPPED);
+  harness.now += kS;
+  EXPECT_EQ (harness.report ({ harness.other (), stopped }), 1u) << "the waiting job must be started on the machine";
+  EXPECT_TRUE (ft_machine_usable (harness.n1 ()));
+  EXPECT_EQ (harness.machine_of ("req-3", 0), "n-1");
+}
+
+// Guards against a quarantine that outlasts the incarnation in which the start could have been executed.
+TEST (StartInDoubt, QuarantineEndsWithTheIncarnation)
+{
+  StartInDoubt harness;
+  harness.run_until_quarantined ();
+  harness.now += kS;
+  harness.report ({}, 2);
+  EXPECT_TRUE (ft_machine_usable (harness.n1 ()));
+}
+
+// Guards against ran_cancelled: of two starts in doubt the one that is reported says nothing about the other.
+TEST (StartInDoubt, QuarantineLastsWhileAnotherStartIsInDoubt)
+{
+  StartInDoubt harness;
+  harness.add_start_in_doubt ("req-3", 7);
+  harness.run_until_quarantined ();
+  FtTaskStatus stopped = task_status ("req-1", 0, harness.in_doubt, FT_TASK_PHASE_EXITED, FT_EXIT_STOPPED);
+  harness.run_for (3, { harness.other (), stopped });
+  EXPECT_TRUE (ft_machine_is_quarantined (harness.n1 ()));
+  EXPECT_EQ (harness.n1 ()->state, FT_MACHINE_UP);
+}
+
+// Guards against ran_cancelled: a heartbeat that does not show the start does not prove that it will not be executed.
+TEST (StartInDoubt, MachineIsTerminatedBeforeACancelledTaskCouldRunPastItsTime)
+{
+  StartInDoubt harness;
+  harness.run_until_quarantined ();
+  double half_s = FT_START_IN_DOUBT_SCALE_IN_SHARE * harness.world.settings.cancel_s;
+  harness.run_for (half_s - FT_START_IN_DOUBT_QUARANTINE_S, { harness.other () });
+  EXPECT_EQ (harness.n1 ()->state, FT_MACHINE_TERMINATING);
+}
+
+// Guards against a machine that is kept for a start in doubt though it has nothing else to do.
+TEST (StartInDoubt, MachineWithoutOtherWorkIsTerminatedAtOnce)
+{
+  StartInDoubt harness;
+  FtTaskStatus stopped = harness.other (FT_TASK_PHASE_EXITED, FT_EXIT_DONE);
+  harness.report ({ stopped });
+  for (int i = 0; i < 2; i++)
+    harness.commit_writes (harness.now);
+  harness.run_for (FT_START_IN_DOUBT_QUARANTINE_S + 1, { stopped });
+  EXPECT_EQ (harness.n1 ()->state, FT_MACHINE_TERMINATING);
+}
+
+// Guards against a worker that is told to forget an attempt whose start may still be executed: the late copy would
+// start the cancelled task anew, after the doubt has ended.
+TEST (StartInDoubt, WorkerMustRememberTheAttemptAfterTheDoubtHasEnded)
+{
+  StartInDoubt harness;
+  harness.run_until_quarantined ();
+  FtTaskStatus stopped = task_status ("req-1", 0, harness.in_doubt, FT_TASK_PHASE_EXITED, FT_EXIT_STOPPED);
+  for (int i = 0; i < 40; i++) {
+    harness.now += kS;
+    g_autoptr (GArray) commands = harness.exchange (harness.now, ++harness.sequence, { harness.other (), stopped });
+    ft_scheduler_tick (harness.scheduler, harness.now, TRUE);
+    EXPECT_EQ (count_commands (commands, FT_COMMAND_FORGET), 0u);
+  }
+}
+
+} // namespace
