A faulty machine is terminated though an earlier task completes on it

Operators would see: a machine quarantined as faulty that gets no work, is idle, and is not returned.

Cause: what terminates a faulty machine asked for the count of failures once more. A task that was started before the failures and completes afterwards sets that count back, while the quarantine stays: a hole of the same kind as the quarantine for a start in doubt, found by going through what sets and what ends each mark.

Change: the quarantine alone decides. That an earlier task completes proves nothing about the tasks that failed after its start, so it is no reason to use the machine again.

Fault.FaultyMachineIsTerminatedThoughAnEarlierTaskCompletesOnIt fails before the change and passes with it. (One line of start_in_doubt.c is formatted.)

--- a/src/core/fault.c
+++ b/src/core/fault.c
@@ -53,6 +53,13 @@
   return machine->fitness.last_failed != job->revision;
 }
 
+/* Returns whether enough failures count against the machine to quarantine it. */
+static gboolean
+is_faulty (const FtMachine *machine)
+{
+  return machine->fitness.faults >= FT_QUARANTINE_FAULTS;
+}
+
 /* Returns whether another machine may be quarantined. Most machines must stay in use even if the detection is wrong. */
 static gboolean
 may_quarantine_one_more (const FtMachineTable *table)
@@ -71,7 +78,7 @@
   if (counts_against_machine (job, machine))
     machine->fitness.faults++;
   machine->fitness.last_failed = job->revision;
-  if (!ft_fault_is_faulty (machine) || !(ft_machine_is_quarantined (machine) || may_quarantine_one_more (table)))
+  if (!is_faulty (machine) || !(ft_machine_is_quarantined (machine) || may_quarantine_one_more (table)))
     return;
   if (ft_machine_set_quarantined (machine, FT_QUARANTINED_FAULTY, TRUE))
     g_warning ("machine %s: quarantined (faulty: %u task failures in a row count against the machine)", machine->name,
@@ -84,9 +91,3 @@
   machine->fitness.faults = 0;
   machine->fitness.last_failed = 0;
 }
-
-gboolean
-ft_fault_is_faulty (const FtMachine *machine)
-{
-  return machine->fitness.faults >= FT_QUARANTINE_FAULTS;
-}
--- a/src/core/fault.h
+++ b/src/core/fault.h
@@ -3,7 +3,7 @@
  * A single failure proves nothing, since a job that was submitted with a mistake fails on every machine. A failure
  * counts against the machine in two cases: tasks of the same job succeed on other machines; or the job is not known to
  * fail on every machine, and the last failure on this machine was not a failure of the same job. A machine is faulty
- * after FT_QUARANTINE_FAULTS such failures in a row.
+ * after FT_QUARANTINE_FAULTS such failures in a row. Its quarantine ends when it is terminated.
  *
  * The attempt reports call this module when attempts exit. It quarantines faulty machines; the eviction
  * (machine_eviction.h) terminates them once they are idle. */
@@ -17,6 +17,3 @@
 
 /* Records that a task has completed on the machine: its earlier failures no longer count. */
 void ft_fault_task_completed (FtMachine *machine);
-
-/* Returns whether enough failures count against the machine to quarantine it. */
-gboolean ft_fault_is_faulty (const FtMachine *machine);
--- a/src/core/machine_eviction.c
+++ b/src/core/machine_eviction.c
@@ -1,6 +1,5 @@
 #include "core/machine_eviction.h"
 
-#include "core/fault.h"
 #include "core/start_in_doubt.h"
 
 typedef struct {
@@ -190,12 +189,12 @@
   return machine->state == FT_MACHINE_BOOTING && machine->context->now - machine->launched_at > limit;
 }
 
-/* Whether the machine is faulty and idle. Tasks that were started before the machine became faulty may complete. */
+/* Whether the machine is faulty and idle. Tasks that were started before the machine became faulty may complete; that
+ * they do proves nothing, so the machine is terminated all the same. */
 static gboolean
 faulty_and_idle (const FtMachine *machine)
 {
-  return (machine->fitness.quarantine & FT_QUARANTINED_FAULTY) && machine->reconciled && ft_fault_is_faulty (machine)
-         && ft_machine_idle (machine);
+  return (machine->fitness.quarantine & FT_QUARANTINED_FAULTY) && machine->reconciled && ft_machine_idle (machine);
 }
 
 static void
--- a/src/core/start_in_doubt.c
+++ b/src/core/start_in_doubt.c
@@ -60,6 +60,5 @@
   update_quarantine (machine, &starts);
   if (starts.age_s <= FT_START_IN_DOUBT_QUARANTINE_S)
     return FALSE;
-  return !starts.busy_else
-         || starts.age_s > FT_START_IN_DOUBT_SCALE_IN_SHARE * machine->context->settings->cancel_s;
+  return !starts.busy_else || starts.age_s > FT_START_IN_DOUBT_SCALE_IN_SHARE * machine->context->settings->cancel_s;
 }
--- a/tests/test_fault.cpp
+++ b/tests/test_fault.cpp
@@ -158,6 +158,26 @@
   EXPECT_EQ (fleet.at (0)->state, FT_MACHINE_TERMINATING);
 }
 
+// Guards against a faulty machine that gets no work and is not terminated for good, because a task that was started
+// earlier completed on it and set the count of its failures back.
+TEST (Fault, FaultyMachineIsTerminatedThoughAnEarlierTaskCompletesOnIt)
+{
+  Fleet fleet (4);
+  fleet.add_job ("req-1", 10, 5);
+  fleet.report_status ("req-1", 0, 1, FT_TASK_PHASE_EXITED, FT_EXIT_DONE);
+  for (guint task : { 1, 2 })
+    fleet.fail ("req-1", task, 0);
+  ASSERT_TRUE (ft_machine_is_quarantined (fleet.at (0)));
+  fleet.report_status ("req-1", 3, 0, FT_TASK_PHASE_EXITED, FT_EXIT_DONE);
+  ft_scheduler_tick (fleet.scheduler, fleet.now, TRUE);
+  EXPECT_EQ (fleet.at (0)->state, FT_MACHINE_UP) << "the result of the task is not committed yet";
+  fleet.now += kS;
+  while (fleet.commit_and_count (FT_WRITE_CHUNK, fleet.now) > 0)
+    continue;
+  ft_scheduler_tick (fleet.scheduler, fleet.now, TRUE);
+  EXPECT_EQ (fleet.at (0)->state, FT_MACHINE_TERMINATING);
+}
+
 // In the simulated world, a fifth of the machines is faulty for 60 s: every task that starts there fails at once. The
 // load consists of arrays of 400 tasks of one CPU, tasks that fill a machine, and a mistaken job, which fails on every
 // machine.
