An interruption notice ends when the machine's heartbeats carry none

Operators would see: a machine shown as "the cloud takes it back" that gets no work and is not returned, if the cloud withdraws its notice, or does not take the machine when the notice has run out and the machine goes on reporting.

Cause: the time until which a notice lasts was set by heartbeats with a notice and never taken back; when it had passed, only a machine that had stopped reporting was given up.

Change: a heartbeat without a notice ends it and the machine gets work again. A machine that still reports after its notice has run out is terminated once it has nothing left to do; its tasks may complete until then, as before.

--- a/src/core/interruption_notice.c
+++ b/src/core/interruption_notice.c
@@ -17,11 +17,26 @@
     ft_attempt_request_stop (attempt, 0);
 }
 
+/* Records that the machine's newest heartbeat carries no notice. */
+static void
+notice_ended (FtMachine *machine)
+{
+  if (machine->notice_until == 0)
+    return;
+  g_message ("machine %s: interruption notice ended (the cloud does not take it back)", machine->name);
+  machine->notice_until = 0;
+  machine->context->placement_due = TRUE;
+}
+
 void
 ft_interruption_notice_apply (FtMachine *machine, double notice_s, FtSpotRisk *spot_risk)
 {
-  if (notice_s < 0 || machine->state == FT_MACHINE_TERMINATING)
+  if (machine->state == FT_MACHINE_TERMINATING)
+    return;
+  if (notice_s < 0) {
+    notice_ended (machine);
     return;
+  }
   gboolean first = machine->notice_until == 0;
   machine->notice_until = machine->context->now + ft_seconds (notice_s);
   if (!first)
--- a/src/core/interruption_notice.h
+++ b/src/core/interruption_notice.h
@@ -2,7 +2,8 @@
  *
  * The machine gets no more starts. Running tasks that save checkpoints are stopped and get the time to save one. Tasks
  * that would still be far from done when the machine is taken back are stopped at once and start elsewhere. All other
- * tasks may complete. Called for each heartbeat. */
+ * tasks may complete. The notice ends with a heartbeat that carries none; if it runs out, the eviction
+ * (machine_eviction.h) terminates the machine once it is idle. Called for each heartbeat. */
 #pragma once
 #include "core/machine.h"
 #include "core/spot_risk.h"
--- a/src/core/machine_eviction.c
+++ b/src/core/machine_eviction.c
@@ -173,12 +173,17 @@
 
 /* ---- other reasons ---- */
 
-static gboolean
-taken_by_cloud (const FtMachine *machine)
+/* Returns the reason why the end of the machine's interruption notice terminates it, as a text for the log: the machine
+ * has not reported since then, or has nothing left to do. NULL: there is no such reason. */
+static const char *
+reason_notice_over (const FtMachine *machine)
 {
   gint64 taken_at = machine->notice_until + ft_seconds (FT_NOTICE_MARGIN_S);
-  return machine->notice_until > 0 && machine->context->now > taken_at
-         && machine->reachability.last_status_at < machine->notice_until;
+  if (machine->notice_until == 0 || machine->context->now <= taken_at)
+    return NULL;
+  if (machine->reachability.last_status_at < machine->notice_until)
+    return "taken by the cloud";
+  return ft_machine_idle (machine) ? "its interruption notice has run out" : NULL;
 }
 
 static gboolean
@@ -201,8 +206,9 @@
 check_machine (FtMachineEviction *eviction, FtMachine *machine, ReportingCount count)
 {
   const char *lost_reason = reason_lost (machine);
-  if (taken_by_cloud (machine)) {
-    ft_machine_terminate (machine, "taken by the cloud");
+  const char *notice_reason = reason_notice_over (machine);
+  if (notice_reason != NULL) {
+    ft_machine_terminate (machine, notice_reason);
   } else if (lost_reason != NULL
              && (ft_machine_eviction_may_hold_cancelled (eviction, machine)
                  || may_terminate_lost (eviction, machine, count))) {
