Tests kill the controllers that they started, also when they are aborted

A test program that was aborted by the sanitizer left three controllers running, which kept its output pipe open: whoever waited for the end of that output waited for 20 minutes. The kernel now kills a controller when the process that started it ends. A field of start_in_doubt.c gets a plainer name.

--- a/src/core/start_in_doubt.c
+++ b/src/core/start_in_doubt.c
@@ -5,9 +5,9 @@
 
 /* The attempts on a machine, as far as starts in doubt are concerned. */
 typedef struct {
-  guint in_doubt;     /* attempts whose start is in doubt */
-  double age_s;       /* time since the oldest of them was placed; 0: there is none */
-  gboolean busy_else; /* another attempt has not exited, or has a result that is not committed */
+  guint in_doubt;          /* attempts whose start is in doubt */
+  double age_s;            /* time since the oldest of them was placed; 0: there is none */
+  gboolean has_other_work; /* another attempt has not exited, or has a result that is not committed */
 } StartsInDoubt;
 
 static gboolean
@@ -32,7 +32,7 @@
       starts.in_doubt++;
       starts.age_s = MAX (starts.age_s, (double) (machine->context->now - attempt->placed_at) / FT_SECOND);
     } else {
-      starts.busy_else |= !ft_attempt_has_exited (attempt) || attempt->bound;
+      starts.has_other_work |= !ft_attempt_has_exited (attempt) || attempt->bound;
     }
   }
   return starts;
@@ -60,5 +60,6 @@
   update_quarantine (machine, &starts);
   if (starts.age_s <= FT_START_IN_DOUBT_QUARANTINE_S)
     return FALSE;
-  return !starts.busy_else || starts.age_s > FT_START_IN_DOUBT_SCALE_IN_SHARE * machine->context->settings->cancel_s;
+  return !starts.has_other_work
+         || starts.age_s > FT_START_IN_DOUBT_SCALE_IN_SHARE * machine->context->settings->cancel_s;
 }
--- a/tests/loopback/controllers.hpp
+++ b/tests/loopback/controllers.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include <glib/gstdio.h>
 #include <signal.h>
+#include <sys/prctl.h>
 
 #include "services.hpp"
 
@@ -69,8 +70,10 @@
   void
   start (size_t i)
   {
-    processes[i] = g_subprocess_new (G_SUBPROCESS_FLAGS_STDERR_SILENCE, nullptr, programs[i].c_str (), "--config",
-                                     files[i].c_str (), nullptr);
+    g_autoptr (GSubprocessLauncher) launcher = g_subprocess_launcher_new (G_SUBPROCESS_FLAGS_STDERR_SILENCE);
+    g_subprocess_launcher_set_child_setup (launcher, die_with_parent, nullptr, nullptr);
+    processes[i]
+        = g_subprocess_launcher_spawn (launcher, nullptr, programs[i].c_str (), "--config", files[i].c_str (), nullptr);
   }
   void
   kill (size_t i)
@@ -105,6 +108,12 @@
   }
 
 private:
+  // Runs in a new controller's process: the kernel kills it when the test ends, also if the test is aborted.
+  static void
+  die_with_parent (gpointer)
+  {
+    prctl (PR_SET_PDEATHSIG, SIGKILL);
+  }
   void
   write_file (const Services &services, size_t i, const Site &site)
   {
