Random runs report machines that are up and get no work for 90 s

Cause: the random runs checked that no job waits for 90 s beside a machine with room, but the simulated cloud always has another machine, so a machine that was set aside for good was never missed; and no run cancelled jobs as soon as they were accepted while commands arrive late.

Change: in the second half of each run, where no fault is active, the checker reports each machine that is up, runs no task and gets no work for longer than the 90 s of the users' rule, with the reason that operators see.

--- a/tests/sim/checker.cpp
+++ b/tests/sim/checker.cpp
@@ -4,7 +4,7 @@
 
 namespace sim {
 
-// Once no fault is active: how long a job may wait although it could run.
+// Once no fault is active: how long a job may wait although it could run, and a machine may get no work.
 static constexpr Time kLongestWait = 90 * kSecond;
 // Once no fault is active: how long polls of a job may remain unanswered.
 static constexpr Time kLongestSilence = 75 * kSecond;
@@ -264,6 +264,18 @@
     violated ("waiting", ref + " could run but has waited too long");
 }
 
+void
+Checker::observe_unused (Time now, const std::string &machine, const std::string &reason)
+{
+  if (reason.empty () || !faults_over_at_) {
+    unused_since_.erase (machine);
+    return;
+  }
+  Time since = unused_since_.emplace (machine, now).first->second;
+  if (now - since > kLongestWait)
+    violated ("unused", machine + " is up without work for too long: " + reason);
+}
+
 void
 Checker::check_cancelled_jobs (Time now)
 {
--- a/tests/sim/checker.hpp
+++ b/tests/sim/checker.hpp
@@ -90,6 +90,9 @@
   // Called for each open job every few seconds. `could_run`: the job waits although a suitable machine has
   // room and the team's limit admits another task.
   void observe_waiting (Time now, const std::string &ref, bool could_run);
+  // Called for each machine that is up every few seconds. `reason`: why the leader gives no work to the machine, which
+  // runs no task; empty: it may get work, or runs tasks.
+  void observe_unused (Time now, const std::string &machine, const std::string &reason);
   // A leader's write for a job was refused although the job is open, because the leader expected a wrong
   // revision of its row.
   void stale_revision_used (const std::string &ref);
@@ -145,8 +148,9 @@
   Time cancel_;                          // time from a confirmed cancellation to the deadline for its tasks
   std::optional<Time> faults_over_at_;
   std::map<std::string, Job> jobs_;
-  std::set<std::string> cancelled_; // jobs whose cancellation was confirmed to a user
-  std::set<std::string> overdue_;   // cancelled jobs that had a task on a machine after the deadline
+  std::map<std::string, Time> unused_since_; // machines that are up, run no task and get no work
+  std::set<std::string> cancelled_;          // jobs whose cancellation was confirmed to a user
+  std::set<std::string> overdue_;            // cancelled jobs that had a task on a machine after the deadline
   std::map<TaskKey, std::vector<Placement> > placements_; // machines on which each task runs
   std::vector<std::string> violations_;
   guint starts_ = 0;
--- a/tests/sim/day.cpp
+++ b/tests/sim/day.cpp
@@ -242,12 +242,34 @@
   EXPECT_EQ (open, 0) << "jobs neither done nor cancelled at the end";
 }
 
+// Tells the checker which machines that run no task are up and get no work, as the leader explains it to operators.
+void
+Day::observe_unused_machines ()
+{
+  Node *node = leader ();
+  if (node == nullptr)
+    return;
+  auto visit = [] (const char *name, const char *state, const char *, const char *, gboolean, guint64, guint,
+                   const char *reason, gpointer data) {
+    auto self = (Day *) data;
+    auto worker = self->world.machines.find (name);
+    bool idle = worker != self->world.machines.end () && worker->second->used_cpus () <= 0;
+    bool unused = std::string (state) == "up" && *reason != '\0';
+    if (unused)
+      self->unused_reasons.insert (reason);
+    self->world.checker->observe_unused (self->world.now, name, unused && idle ? reason : "");
+  };
+  ft_scheduler_each_machine (node->scheduler (), visit, this);
+}
+
 void
 Day::finish ()
 {
   world.at (length / 2, [this] { world.checker->faults_over (world.now); });
   for (Time when = length / 2; when < length; when += 2 * kSecond)
     world.at (when, [this] { world.observe_waiting_jobs (); });
+  for (Time when = 0; when < length; when += 2 * kSecond)
+    world.at (when, [this] { observe_unused_machines (); });
   world.run_until (length);
   world.checker->check_at_end ();
   for (const std::string &violation : world.checker->violations ())
--- a/tests/sim/day.hpp
+++ b/tests/sim/day.hpp
@@ -9,6 +9,7 @@
 #include "world.hpp"
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -100,9 +101,10 @@
 
   World world;
   Time length = kLength;
-  std::vector<std::string> refs;      // jobs that load() and load_long() have added
-  std::vector<std::string> cancelled; // jobs that cancel_running() has cancelled
-  Node *refused_leader = nullptr;     // set by refuse_leader()
+  std::vector<std::string> refs;        // jobs that load() and load_long() have added
+  std::vector<std::string> cancelled;   // jobs that cancel_running() has cancelled
+  std::set<std::string> unused_reasons; // reasons for which a leader gave no work to a machine that was up
+  Node *refused_leader = nullptr;       // set by refuse_leader()
 
 private:
   // A job of a pipeline.
@@ -120,6 +122,7 @@
   void load_pipeline (const std::string &name, Time when, int cancelled_step);
   std::string leader_view (const std::string &ref);
   void expect_all_ended ();
+  void observe_unused_machines ();
 };
 
 } // namespace sim
--- a/tests/test_checker.cpp
+++ b/tests/test_checker.cpp
@@ -164,6 +164,20 @@
   expect_violation_of ("waiting");
 }
 
+TEST_F (CheckerReports, MachineThatIsUpWithoutWorkForTooLong)
+{
+  checker.observe_unused (0, "m1", "reason"); // not counted: faults are still active
+  checker.faults_over (kSecond);
+  checker.observe_unused (kSecond, "m1", "reason");
+  checker.observe_unused (91 * kSecond, "m1", "reason");
+  checker.observe_unused (92 * kSecond, "m1", ""); // it may get work
+  checker.observe_unused (93 * kSecond, "m1", "reason");
+  checker.observe_unused (183 * kSecond, "m1", "reason");
+  EXPECT_TRUE (checker.violations ().empty ());
+  checker.observe_unused (183 * kSecond + 1, "m1", "reason");
+  expect_violation_of ("unused");
+}
+
 TEST_F (CheckerReports, AcceptedJobThatCanNeverRun)
 {
   Checker::Job job;
--- a/tests/test_fault_interactions_messages.cpp
+++ b/tests/test_fault_interactions_messages.cpp
@@ -88,6 +88,27 @@
   EXPECT_GT (world.counters.late_commands_executed, 0u) << "no command was executed late";
 }
 
+// Jobs of one task are cancelled as soon as they are accepted, while the commands that start them are carried out late.
+// The checker reports machines that get no work after that.
+TEST_P (MessageFaults, LateStartsOfJobsCancelledAtOnce)
+{
+  world.faults.late_direct_commands = 0.5;
+  world.at (150 * kSecond, [&] { world.faults.late_direct_commands = 0; });
+  day.load ();
+  for (int i = 0; i < 120; i++) {
+    Time when = (20 + i) * kSecond;
+    std::string ref = "req-5" + std::to_string (100 + i);
+    world.at (when, [&, ref] { world.submit (ref, 1, 0.25, 15, "red", false, false, true); });
+    day.poll_until_end (ref, when + 5 * kSecond, 5 * kSecond);
+    if (i % 3 != 0)
+      world.at (when + seconds_between (0.3, 0.8), [&, ref] { world.cancel (ref); });
+  }
+  day.finish ();
+  EXPECT_GT (world.counters.late_commands_executed, 0u) << "no command was executed late";
+  EXPECT_EQ (day.unused_reasons.count ("a cancelled start may still be executed on it"), 1u)
+      << "no machine was quarantined for a start in doubt";
+}
+
 TEST_P (MessageFaults, CommandsOfFormerLeaderArriveAfterNewerOnes)
 {
   world.faults.late_direct_commands = 0.5;
