A machine of a type that the catalog lacks is returned once it is idle

Operators would see: a machine that is up, gets no work, since no job can use a type that the catalog does not offer, and is never returned.

Change: such a machine is terminated once it has been idle for 60 s. An empty catalog, which has not been read yet, counts for nothing.

UnusedMachines.IdleMachineOfAnUnknownTypeIsTerminated fails before the change and passes with it.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -160,6 +160,9 @@
  * before machines of the zone are terminated for silence: the newer answer shows that this leader is not cut off
  * together with the zone. */
 #define FT_ZONE_STORE_ANSWERED_LATER_S 1.0
+/* Seconds for which a machine of a type that the catalog does not offer must be idle before it is terminated: the
+ * catalog may be read again in that time. */
+#define FT_UNKNOWN_TYPE_SCALE_IN_S 60.0
 /* Successive task failures that must count against a machine before it is quarantined: a single failure may be
  * chance. */
 #define FT_QUARANTINE_FAULTS 2
--- a/src/core/machine_eviction.c
+++ b/src/core/machine_eviction.c
@@ -194,6 +194,17 @@
   return machine->state == FT_MACHINE_BOOTING && machine->context->now - machine->launched_at > limit;
 }
 
+/* Whether the machine is idle and the catalog does not offer its type, so that no job can use it. An empty catalog has
+ * not been read yet. */
+static gboolean
+of_unknown_type_and_idle (const FtMachine *machine)
+{
+  const FtCoreContext *context = machine->context;
+  return machine->type == NULL && context->catalog->types->len > 0 && machine->state == FT_MACHINE_UP
+         && machine->reconciled && ft_machine_idle (machine)
+         && context->now - machine->idle_since > ft_seconds (FT_UNKNOWN_TYPE_SCALE_IN_S);
+}
+
 /* Whether the machine is faulty and idle. Tasks that were started before the machine became faulty may complete; that
  * they do proves nothing, so the machine is terminated all the same. */
 static gboolean
@@ -218,6 +229,8 @@
     ft_machine_terminate (machine, "did not boot in time");
   } else if (ft_start_in_doubt_check (machine)) {
     ft_machine_terminate (machine, "a cancelled start may still be executed");
+  } else if (of_unknown_type_and_idle (machine)) {
+    ft_machine_terminate (machine, "its type is not in the catalog");
   } else if (faulty_and_idle (machine)) {
     ft_machine_terminate (machine, "faulty");
   }
--- a/src/core/machine_eviction.h
+++ b/src/core/machine_eviction.h
@@ -1,7 +1,8 @@
 /* Eviction: terminates machines that are lost, unusable, or may run cancelled work.
  *
  * The reasons are: the machine is silent, does not receive our answers, or reports to no controller; the cloud has
- * taken it back; it did not boot in time; a cancelled start may still be executed on it; or it is faulty. A leader that
+ * taken it back; it did not boot in time; a cancelled start may still be executed on it; its type
+ * is unknown; or it is faulty. A leader that
  * is itself cut off must not return a healthy fleet. The number of machines that are terminated for silence within a
  * window is therefore bounded by a share of the fleet. The bound does not apply to machines that may hold cancelled
  * work.
--- a/tests/test_unused_machines.cpp
+++ b/tests/test_unused_machines.cpp
@@ -54,6 +54,27 @@
   }
 }
 
+// Guards against a machine that is neither used nor returned: no job can use a type that the catalog does not offer.
+TEST (UnusedMachines, IdleMachineOfAnUnknownTypeIsTerminated)
+{
+  OneMachine harness;
+  g_autoptr (FtCatalog) other = ft_catalog_new ();
+  auto type = g_new0 (FtMachineType, 1);
+  type->name = g_strdup ("other");
+  type->cpus = type->memory_gb = 8;
+  g_ptr_array_add (other->types, type);
+  ft_scheduler_set_catalog (harness.scheduler, other);
+  guint64 sequence = 1;
+  gint64 now = 100 * kS;
+  for (; now <= 100 * kS + (gint64) (FT_UNKNOWN_TYPE_SCALE_IN_S * kS); now += kS) {
+    g_autoptr (GArray) none = harness.exchange (now, ++sequence);
+    ft_scheduler_tick (harness.scheduler, now, TRUE);
+  }
+  EXPECT_EQ (harness.machine ("n-1")->state, FT_MACHINE_UP);
+  ft_scheduler_tick (harness.scheduler, now, TRUE);
+  EXPECT_EQ (harness.machine ("n-1")->state, FT_MACHINE_TERMINATING);
+}
+
 TEST (UnusedMachines, AreCountedAmongTheMachinesThatAreUp)
 {
   StartInDoubt harness;
