Tests never get the same loopback address twice

Seen: UserRequest.PollIsAnsweredOnceOnEachPath failed once in a run of the whole suite. The line "started, users and workers on HOST:32953, peers and operators on HOST:32953" shows the cause: free_address() binds a port, closes it and returns it, and the system chose the same port again for the second listener, so the request reached the peers' listener.

Change: free_address() remembers what it has returned in this process, whose host address is its own, and draws again.

--- a/tests/loopback/http.hpp
+++ b/tests/loopback/http.hpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 extern "C" {
@@ -23,9 +24,9 @@
          + std::to_string (pid & 255);
 }
 
-// An address "HOST:PORT" on which nothing listens.
+// An address "HOST:PORT" with a port that the system chooses.
 inline std::string
-free_address ()
+bound_address ()
 {
   g_autoptr (GSocket) socket
       = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, nullptr);
@@ -35,6 +36,18 @@
   return own_host () + ":" + std::to_string (g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (bound)));
 }
 
+// An address "HOST:PORT" on which nothing listens. No address is returned twice, although the system may choose a port
+// again.
+inline std::string
+free_address ()
+{
+  static std::set<std::string> returned;
+  std::string address = bound_address ();
+  while (!returned.insert (address).second)
+    address = bound_address ();
+  return address;
+}
+
 // Runs the main loop until the condition holds; false if it does not hold within 60 s.
 inline bool
 wait_for (std::function<bool ()> condition)
