--- a/tests/scheduler_harness.hpp
+++ b/tests/scheduler_harness.hpp
@@ -20,6 +20,16 @@
   return { (char *) job, index, attempt, phase, reason, FALSE };
 }
 
+// Adds the statuses to the tasks of a heartbeat.
+inline void
+add_tasks (FtWorkerHeartbeat *heartbeat, const std::vector<FtTaskStatus> &tasks)
+{
+  for (FtTaskStatus status : tasks) {
+    status.job = g_strdup (status.job);
+    g_array_append_val (heartbeat->tasks, status);
+  }
+}
+
 // The number of commands of that kind in an answer to a heartbeat.
 inline guint
 count_commands (GArray *commands, FtCommandOp op)
@@ -97,10 +107,7 @@
             const char *machine = "n-1")
   {
     g_autoptr (FtWorkerHeartbeat) heartbeat = new_heartbeat (incarnation, sequence, 3, machine);
-    for (FtTaskStatus status : tasks) {
-      status.job = g_strdup (status.job);
-      g_array_append_val (heartbeat->tasks, status);
-    }
+    add_tasks (heartbeat, tasks);
     EXPECT_TRUE (ft_scheduler_heartbeat (scheduler, heartbeat, now));
     ft_scheduler_place (scheduler, now, TRUE);
     return ft_scheduler_answer (scheduler, heartbeat, now);
--- a/tests/start_in_doubt.hpp
+++ b/tests/start_in_doubt.hpp
@@ -29,6 +29,12 @@
   {
     return task_status ("req-2", 0, attempt, phase, why);
   }
+  // The task whose start was in doubt, after it was executed late and stopped.
+  FtTaskStatus
+  stopped () const
+  {
+    return task_status ("req-1", 0, in_doubt, FT_TASK_PHASE_EXITED, FT_EXIT_STOPPED);
+  }
   // Adds a job of one task, whose direct start gets no answer, and cancels the job.
   void
   add_start_in_doubt (const char *ref, guint64 revision)
--- a/tests/test_fault.cpp
+++ b/tests/test_fault.cpp
@@ -53,8 +53,7 @@
     ft_attempt_bind (started, FT_TASK_STARTING);
     forbid_starts ();
     g_autoptr (FtWorkerHeartbeat) heartbeat = new_heartbeat (1, ++sequence, 3, name (on).c_str ());
-    status.job = g_strdup (ref);
-    g_array_append_val (heartbeat->tasks, status);
+    add_tasks (heartbeat, { status });
     ASSERT_TRUE (ft_scheduler_heartbeat (scheduler, heartbeat, now));
   }
   void
--- a/tests/test_interruption_notice.cpp
+++ b/tests/test_interruption_notice.cpp
@@ -5,12 +5,13 @@
 
 // One machine, with the notice that its heartbeats carry.
 struct NoticedMachine : OneMachine {
-  // Processes a heartbeat with the notice, in seconds, and a tick; negative: without a notice.
+  // Processes a heartbeat with the notice, in seconds (negative: without a notice), and those tasks; then a tick.
   void
-  report (gint64 now, guint64 sequence, double notice_s)
+  report (gint64 now, guint64 sequence, double notice_s, const std::vector<FtTaskStatus> &tasks = {})
   {
     g_autoptr (FtWorkerHeartbeat) heartbeat = new_heartbeat (1, sequence, 3);
     heartbeat->notice_s = notice_s;
+    add_tasks (heartbeat, tasks);
     ASSERT_TRUE (ft_scheduler_heartbeat (scheduler, heartbeat, now));
     ft_scheduler_tick (scheduler, now, TRUE);
   }
@@ -41,16 +42,11 @@
 // Guards against losing the result of a task that completes after the notice has run out.
 TEST (InterruptionNotice, MachineWithATaskIsKeptWhileItReports)
 {
-  OneMachine harness;
+  NoticedMachine harness;
   harness.start_job ("req-1", 5, 100 * kS, 2);
   for (guint i = 0; i < 4; i++) {
     gint64 now = (102 + i) * kS;
-    g_autoptr (FtWorkerHeartbeat) heartbeat = harness.new_heartbeat (1, 3 + i, 3);
-    FtTaskStatus status = task_status ("req-1", 0, harness.attempt, FT_TASK_PHASE_RUNNING);
-    status.job = g_strdup (status.job);
-    g_array_append_val (heartbeat->tasks, status);
-    heartbeat->notice_s = 0;
-    ASSERT_TRUE (ft_scheduler_heartbeat (harness.scheduler, heartbeat, now));
+    harness.report (now, 3 + i, 0, { task_status ("req-1", 0, harness.attempt, FT_TASK_PHASE_RUNNING) });
     ft_scheduler_tick (harness.scheduler, now + kS - 1, TRUE);
   }
   EXPECT_EQ (harness.machine ("n-1")->state, FT_MACHINE_UP);
--- a/tests/test_scheduler_commands.cpp
+++ b/tests/test_scheduler_commands.cpp
@@ -30,10 +30,8 @@
   ft_scheduler_tick (harness.scheduler, 102 * kS, FALSE);
   ft_scheduler_job_cancelled (harness.scheduler, "req-1", 0, 102 * kS);
   g_autoptr (FtWorkerHeartbeat) heartbeat = harness.new_heartbeat (1, 3, 3);
-  FtTaskStatus status = {
-    g_strdup ("req-1"), g_array_index (starts, FtCommand, 0).index, id, FT_TASK_PHASE_RUNNING, FT_EXIT_NONE, FALSE
-  };
-  g_array_append_val (heartbeat->tasks, status);
+  guint index = g_array_index (starts, FtCommand, 0).index;
+  add_tasks (heartbeat, { task_status ("req-1", index, id, FT_TASK_PHASE_RUNNING) });
   ft_scheduler_heartbeat (harness.scheduler, heartbeat, 102 * kS);
   g_autoptr (GArray) commands = ft_scheduler_answer (harness.scheduler, heartbeat, 102 * kS);
   EXPECT_EQ (count_commands (commands, FT_COMMAND_STOP), 1u);
--- a/tests/test_start_in_doubt.cpp
+++ b/tests/test_start_in_doubt.cpp
@@ -14,9 +14,9 @@
   EXPECT_EQ (harness.report ({ harness.other () }), 0u) << "a machine with a start in doubt must not get work";
   harness.now += kS;
   harness.report ({ harness.other (), task_status ("req-1", 0, harness.in_doubt, FT_TASK_PHASE_RUNNING) });
-  FtTaskStatus stopped = task_status ("req-1", 0, harness.in_doubt, FT_TASK_PHASE_EXITED, FT_EXIT_STOPPED);
   harness.now += kS;
-  EXPECT_EQ (harness.report ({ harness.other (), stopped }), 1u) << "the waiting job must be started on the machine";
+  EXPECT_EQ (harness.report ({ harness.other (), harness.stopped () }), 1u)
+      << "the waiting job must be started on the machine";
   EXPECT_TRUE (ft_machine_usable (harness.n1 ()));
   EXPECT_EQ (harness.machine_of ("req-3", 0), "n-1");
 }
@@ -37,8 +37,7 @@
   StartInDoubt harness;
   harness.add_start_in_doubt ("req-3", 7);
   harness.run_until_quarantined ();
-  FtTaskStatus stopped = task_status ("req-1", 0, harness.in_doubt, FT_TASK_PHASE_EXITED, FT_EXIT_STOPPED);
-  harness.run_for (3, { harness.other (), stopped });
+  harness.run_for (3, { harness.other (), harness.stopped () });
   EXPECT_TRUE (ft_machine_is_quarantined (harness.n1 ()));
   EXPECT_EQ (harness.n1 ()->state, FT_MACHINE_UP);
 }
@@ -57,11 +56,11 @@
 TEST (StartInDoubt, MachineWithoutOtherWorkIsTerminatedAtOnce)
 {
   StartInDoubt harness;
-  FtTaskStatus stopped = harness.other (FT_TASK_PHASE_EXITED, FT_EXIT_DONE);
-  harness.report ({ stopped });
+  FtTaskStatus done = harness.other (FT_TASK_PHASE_EXITED, FT_EXIT_DONE);
+  harness.report ({ done });
   for (int i = 0; i < 2; i++)
     harness.commit_writes (harness.now);
-  harness.run_for (FT_START_IN_DOUBT_QUARANTINE_S + 1, { stopped });
+  harness.run_for (FT_START_IN_DOUBT_QUARANTINE_S + 1, { done });
   EXPECT_EQ (harness.n1 ()->state, FT_MACHINE_TERMINATING);
 }
 
@@ -71,10 +70,10 @@
 {
   StartInDoubt harness;
   harness.run_until_quarantined ();
-  FtTaskStatus stopped = task_status ("req-1", 0, harness.in_doubt, FT_TASK_PHASE_EXITED, FT_EXIT_STOPPED);
   for (int i = 0; i < 40; i++) {
     harness.now += kS;
-    g_autoptr (GArray) commands = harness.exchange (harness.now, ++harness.sequence, { harness.other (), stopped });
+    g_autoptr (GArray) commands
+        = harness.exchange (harness.now, ++harness.sequence, { harness.other (), harness.stopped () });
     ft_scheduler_tick (harness.scheduler, harness.now, TRUE);
     EXPECT_EQ (count_commands (commands, FT_COMMAND_FORGET), 0u);
   }
