Show why a controller ended, and how full the queues to the store are

Nothing in log or metrics tells the hypotheses apart that fit its record (signal 11 some seconds after the start, under questions about 800 jobs): use of freed memory, a stack overflow by callbacks that call each other, a failed assertion, memory.

Change: a fatal signal leaves one line in the log, with its name, the address and the calling functions, and then ends the process as before. Sanitizers keep their own handlers. The metrics show for each queue of requests to the store its length, its greatest length and how many requests it refused, and the polls that wait; a warning, at most one each 10 s, says when the queue of reads is full.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -418,6 +418,8 @@
 #define FT_BUDGET_WAIT_MS 20
 /* Requests waiting for the key-value store above which new user requests are answered with 503. */
 #define FT_STORE_QUEUE_MAX 64
+/* Shortest time in seconds between two log lines on requests that were refused because their queue was full. */
+#define FT_STORE_FULL_LOG_S 10.0
 /* Rows in one list request (the protocol allows 1,000). */
 #define FT_LIST_LIMIT 1000
 /* Conditions that a transaction may have for each change that it may have (protocol). */
--- a/src/main.c
+++ b/src/main.c
@@ -7,6 +7,7 @@
 #include <gio/gio.h>
 
 #include "config.h"
+#include "fatal_signal.h"
 #include "log.h"
 #include "net/controller.h"
 
@@ -31,6 +32,7 @@
    * each allocation of a large buffer makes the allocator merge all small blocks that have been freed. */
   mallopt (M_MXFAST, 0);
   ft_log_init (config->member);
+  ft_fatal_signal_report (config->member);
   FtController *controller = ft_controller_new (config, &error);
   if (controller == NULL) {
     fprintf (stderr, "flintrack: cannot listen: %s\n", error->message);
--- a/src/net/admin_status.c
+++ b/src/net/admin_status.c
@@ -10,6 +10,7 @@
 #include "net/leadership.h"
 #include "net/metrics.h"
 #include "net/peers.h"
+#include "net/polls.h"
 #include "net/store_client.h"
 
 /* ---- status ---- */
@@ -178,6 +179,31 @@
 
 /* ---- metrics ---- */
 
+/* The name of one queue of requests to the key-value store, as the metrics' names contain it. */
+typedef struct {
+  FtStorePriority priority;
+  const char *length_name, *longest_name, *refused_name;
+} QueueNames;
+
+static const QueueNames queue_names[] = {
+  { FT_STORE_PRIORITY_CANCEL, "state_queue_cancel", "state_queue_cancel_longest", "state_queue_cancel_refused" },
+  { FT_STORE_PRIORITY_COMMIT, "state_queue_commit", "state_queue_commit_longest", "state_queue_commit_refused" },
+  { FT_STORE_PRIORITY_READ, "state_queue_read", "state_queue_read_longest", "state_queue_read_refused" },
+};
+
+/* Adds how full the queues of requests to the key-value store are, and the number of polls that wait for it. */
+static void
+add_queues (const FtNode *node, json_t *counters)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (queue_names); i++) {
+    FtStoreQueueStatus status = ft_store_client_queue_status (node->store, queue_names[i].priority);
+    json_object_set_new (counters, queue_names[i].length_name, json_integer (status.length));
+    json_object_set_new (counters, queue_names[i].longest_name, json_integer (status.longest));
+    json_object_set_new (counters, queue_names[i].refused_name, json_integer ((json_int_t) status.refused));
+  }
+  json_object_set_new (counters, "polls_waiting", json_integer (ft_polls_waiting (node->polls)));
+}
+
 /* Adds the numbers of jobs and machines that the leader knows now. */
 static void
 add_leader_counts (const FtScheduler *scheduler, json_t *counters)
@@ -197,6 +223,7 @@
 {
   json_t *body = ft_metrics_body (node->metrics), *counters = json_object_get (body, "counters");
   const FtScheduler *scheduler = ft_leader_scheduler (node->leader);
+  add_queues (node, counters);
   if (scheduler != NULL)
     add_leader_counts (scheduler, counters);
   ft_http_respond (request, FT_HTTP_OK, body);
--- a/src/net/polls.c
+++ b/src/net/polls.c
@@ -127,11 +127,17 @@
     g_clear_pointer (&polls->in_flight, g_ptr_array_unref);
 }
 
+guint
+ft_polls_waiting (const FtPolls *polls)
+{
+  return g_queue_get_length ((GQueue *) &polls->waiting);
+}
+
 gboolean
 ft_polls_add (FtPolls *polls, const char *ref, FtPollDone done, gpointer data)
 {
   const FtCachedJob *job = ft_job_cache_find (polls->node->job_cache, ref);
-  if (job == NULL || g_queue_get_length (&polls->waiting) >= FT_POLLS_MAX)
+  if (job == NULL || ft_polls_waiting (polls) >= FT_POLLS_MAX)
     return FALSE;
   Poll *poll = g_new0 (Poll, 1);
   poll->ref = g_strdup (ref);
--- a/src/net/polls.h
+++ b/src/net/polls.h
@@ -46,6 +46,13 @@
  */
 void ft_polls_free (FtPolls *polls);
 
+/**
+ * ft_polls_waiting:
+ *
+ * Returns: the number of polls that wait for the next transaction
+ */
+guint ft_polls_waiting (const FtPolls *polls);
+
 /**
  * ft_polls_add:
  * @ref: the job's ref; copied
--- a/src/net/store_client.c
+++ b/src/net/store_client.c
@@ -24,7 +24,15 @@
   gpointer data;
 } Request;
 
+/* The requests of one priority that wait for a budget. */
+typedef struct {
+  GQueue requests; /* elements: Request, oldest first */
+  guint longest;   /* greatest length so far */
+  guint64 refused; /* number of requests that were refused because the queue was full */
+} RequestQueue;
+
 struct _FtStoreClient {
+  char *member; /* name of this controller, for log lines */
   char *addr;
   double rps, write_rps; /* the store's limits for all controllers: requests and changes per second */
   FtHttpClient *client;
@@ -32,13 +40,14 @@
    * commits, a renewal could wait until the lease has expired. */
   FtHttpClient *lease_client, *watch_client;
   FtBudget requests, writes;
-  /* Elements: Request. The index is the FtStorePriority; the queue of FT_STORE_PRIORITY_LEASE stays empty. */
-  GQueue queues[QUEUE_COUNT];
+  /* The index is the FtStorePriority; the queue of FT_STORE_PRIORITY_LEASE stays empty. */
+  RequestQueue queues[QUEUE_COUNT];
   guint writes_waiting; /* number of changes that the requests in the queues make */
   guint queue_timer;    /* ID of the timer that checks the queues again; 0: none */
   gint64 last_served;   /* when the store last served a request; 0: never */
   gint64 failing_since; /* when the first request failed since `last_served`, not counting throttled ones; 0: none */
   guint in_flight;      /* number of requests that were sent and not answered yet */
+  gint64 refusal_logged_at; /* when the last log line about a full queue was written; 0: never */
 };
 
 FtStoreClient *
@@ -46,6 +55,7 @@
 {
   FtStoreClient *store = g_new0 (FtStoreClient, 1);
   gint64 now = g_get_monotonic_time ();
+  store->member = g_strdup (config->member);
   store->addr = g_strdup (config->store_addr);
   store->rps = config->core.store_rps;
   store->write_rps = config->core.store_write_rps;
@@ -57,7 +67,7 @@
   double writes = store->write_rps * FT_FOLLOWER_WRITE_SHARE;
   ft_budget_init (&store->writes, writes, writes, now);
   for (int i = 0; i < QUEUE_COUNT; i++)
-    g_queue_init (&store->queues[i]);
+    g_queue_init (&store->queues[i].requests);
   return store;
 }
 
@@ -78,11 +88,12 @@
   if (store->queue_timer != 0)
     g_source_remove (store->queue_timer);
   for (int i = 0; i < QUEUE_COUNT; i++)
-    g_queue_clear_full (&store->queues[i], (GDestroyNotify) request_free);
+    g_queue_clear_full (&store->queues[i].requests, (GDestroyNotify) request_free);
   ft_http_client_free (store->client);
   ft_http_client_free (store->lease_client);
   ft_http_client_free (store->watch_client);
   g_free (store->addr);
+  g_free (store->member);
   g_free (store);
 }
 
@@ -98,6 +109,20 @@
 
 static void send_queued (FtStoreClient *store);
 
+static guint
+queue_length (const FtStoreClient *store, FtStorePriority priority)
+{
+  return g_queue_get_length ((GQueue *) &store->queues[priority].requests);
+}
+
+static void
+note_queued (FtStoreClient *store, const Request *request)
+{
+  RequestQueue *queue = &store->queues[request->priority];
+  store->writes_waiting += request->writes;
+  queue->longest = MAX (queue->longest, queue_length (store, request->priority));
+}
+
 /* Queues a request that the store has throttled, so that it is sent again once the budgets allow that. The
  * store has not executed a throttled request. Returns FALSE, and leaves the request to the caller, if its
  * priority is FT_STORE_PRIORITY_LEASE or it was already sent again FT_STORE_RESENDS times. */
@@ -109,8 +134,8 @@
   if (request->priority == FT_STORE_PRIORITY_LEASE || request->resends >= FT_STORE_RESENDS)
     return FALSE;
   request->resends++;
-  store->writes_waiting += request->writes;
-  g_queue_push_head (&store->queues[request->priority], request);
+  g_queue_push_head (&store->queues[request->priority].requests, request);
+  note_queued (store, request);
   send_queued (store);
   return TRUE;
 }
@@ -210,7 +235,7 @@
   gboolean writes_used_up = FALSE;
   for (int i = 0; i < QUEUE_COUNT; i++) {
     Request *request;
-    while ((request = g_queue_peek_head (&store->queues[i])) != NULL) {
+    while ((request = g_queue_peek_head (&store->queues[i].requests)) != NULL) {
       if (!ft_budget_has (&store->requests, 1, now)) {
         schedule_queue_check (store);
         return;
@@ -220,7 +245,7 @@
         schedule_queue_check (store);
         break;
       }
-      g_queue_pop_head (&store->queues[i]);
+      g_queue_pop_head (&store->queues[i].requests);
       store->writes_waiting -= request->writes;
       charge_budgets (store, request);
       send_request (request, store->client);
@@ -228,14 +253,28 @@
   }
 }
 
+/* Counts a request that is refused because its queue is full, and writes a log line unless one was written within
+ * FT_STORE_FULL_LOG_S. */
+static void
+note_refused (FtStoreClient *store, FtStorePriority priority)
+{
+  gint64 now = g_get_monotonic_time ();
+  guint64 refused = ++store->queues[priority].refused;
+  if (store->refusal_logged_at > 0 && now - store->refusal_logged_at < (gint64) (FT_STORE_FULL_LOG_S * FT_SECOND))
+    return;
+  store->refusal_logged_at = now;
+  g_warning ("node %s: the queue of reads from the key-value store is full: %" G_GUINT64_FORMAT " refused so far",
+             store->member, refused);
+}
+
 /* Sends or queues a request, or calls `done` with FT_STORE_UNAVAILABLE if its queue is full. Takes ownership of
  * `path`. */
 static void
 submit (FtStoreClient *store, const char *method, char *path, const json_t *body, FtStorePriority priority,
         FtStoreDone done, gpointer data)
 {
-  if (priority == FT_STORE_PRIORITY_READ
-      && g_queue_get_length (&store->queues[FT_STORE_PRIORITY_READ]) >= FT_STORE_QUEUE_MAX) {
+  if (priority == FT_STORE_PRIORITY_READ && queue_length (store, priority) >= FT_STORE_QUEUE_MAX) {
+    note_refused (store, priority);
     g_free (path);
     done (FT_STORE_UNAVAILABLE, NULL, data);
     return;
@@ -255,8 +294,8 @@
     send_request (request, store->lease_client);
     return;
   }
-  store->writes_waiting += request->writes;
-  g_queue_push_tail (&store->queues[priority], request);
+  g_queue_push_tail (&store->queues[priority].requests, request);
+  note_queued (store, request);
   send_queued (store);
 }
 
@@ -314,8 +353,18 @@
 guint
 ft_store_client_queued (const FtStoreClient *store)
 {
-  return g_queue_get_length ((GQueue *) &store->queues[FT_STORE_PRIORITY_COMMIT])
-         + g_queue_get_length ((GQueue *) &store->queues[FT_STORE_PRIORITY_READ]);
+  return queue_length (store, FT_STORE_PRIORITY_COMMIT) + queue_length (store, FT_STORE_PRIORITY_READ);
+}
+
+FtStoreQueueStatus
+ft_store_client_queue_status (const FtStoreClient *store, FtStorePriority priority)
+{
+  const RequestQueue *queue = &store->queues[priority];
+  return (FtStoreQueueStatus){
+    .length = queue_length (store, priority),
+    .longest = queue->longest,
+    .refused = queue->refused,
+  };
 }
 
 double
--- a/src/net/store_client.h
+++ b/src/net/store_client.h
@@ -201,6 +201,28 @@
 
 /* ---- contact and load ---- */
 
+/**
+ * FtStoreQueueStatus:
+ * @length: number of requests that wait for a budget now
+ * @longest: the greatest @length since the client was made
+ * @refused: number of requests that were refused since then because the queue was full
+ *
+ * How full one queue of requests is.
+ */
+typedef struct {
+  guint length;
+  guint longest;
+  guint64 refused;
+} FtStoreQueueStatus;
+
+/**
+ * ft_store_client_queue_status:
+ * @priority: the priority of the queue's requests; not %FT_STORE_PRIORITY_LEASE, whose requests never wait
+ *
+ * Returns: how full the queue is
+ */
+FtStoreQueueStatus ft_store_client_queue_status (const FtStoreClient *store, FtStorePriority priority);
+
 /**
  * ft_store_client_has_contact:
  * @now: monotonic time
--- a/tests/test_flintrack_errors.cpp
+++ b/tests/test_flintrack_errors.cpp
@@ -98,6 +98,26 @@
   }
 }
 
+// Operators see from the last log line why a controller ended. SIGABRT stands for all fatal signals, since the
+// sanitizers handle the others themselves.
+TEST (FlintrackErrors, FatalSignalIsReportedInTheLastLogLineAndEndsTheProcess)
+{
+  SettingsFile file;
+  g_autoptr (GSubprocess) controller = g_subprocess_new (G_SUBPROCESS_FLAGS_STDERR_PIPE, nullptr, FLINTRACK_PROGRAM,
+                                                         "--config", file.path.c_str (), nullptr);
+  ASSERT_TRUE (wait_for ([&] { return call ("GET", file.front, "/ready")->status == 503; }));
+  g_subprocess_send_signal (controller, SIGABRT);
+  g_autofree char *log = nullptr;
+  ASSERT_TRUE (g_subprocess_communicate_utf8 (controller, nullptr, nullptr, nullptr, &log, nullptr));
+  EXPECT_TRUE (g_subprocess_get_if_signaled (controller));
+  EXPECT_EQ (g_subprocess_get_term_sig (controller), SIGABRT);
+  std::string text = log;
+  ASSERT_FALSE (text.empty ());
+  size_t last_line = text.rfind ('\n', text.size () - 2) + 1;
+  EXPECT_EQ (text.find ("controller-1 error ended by SIGABRT at address 0x", last_line), last_line) << text;
+  EXPECT_NE (text.find (", called from 0x", last_line), std::string::npos) << text;
+}
+
 // The README's sample settings are valid, and one controller with them serves `flintctl status` without a state
 // service, as the README says. Only the addresses are replaced, since tests run in parallel.
 TEST (FlintrackErrors, ReadmeSampleSettingsServeStatusWithoutAStateService)
