A completion callback never runs before the function has returned

Cause: submit() of the store client called `done` itself when the queue of reads was full. A check of ancestors then was completed while advance() was still starting its reads: the last visit in flight failed, finished and freed the traversal, answered the user's request, and the outer advance() went on with freed memory and could finish it again.

Change: one contract for all completion callbacks of src/net, declared at FtHttpDone: once, from the main loop, never before the function has returned. The store client leaves refusals to a completion queue, which carries out at most 64 in one turn of the main loop, so that a renewal does not wait behind them and a repeated failure cannot spin within a turn. Polls keep their transaction until its callbacks have returned, so that a poll added by one of them only waits. A check of ancestors that the job cache decides returns its result instead of calling back: no turn of the main loop more than before. A conflict that names no compared row fails the compared polls only; polls that arrived since are compared next.

Why it works: a visit can no longer complete while visits are being started, whatever fails, so the traversal outlives the loop.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -420,6 +420,9 @@
 #define FT_STORE_QUEUE_MAX 64
 /* Shortest time in seconds between two log lines on requests that were refused because their queue was full. */
 #define FT_STORE_FULL_LOG_S 10.0
+/* Completion callbacks that the main loop calls in one turn for operations that could not be started; the lease's
+ * renewal and other work follow. */
+#define FT_COMPLETIONS_AT_ONCE 64
 /* Rows in one list request (the protocol allows 1,000). */
 #define FT_LIST_LIMIT 1000
 /* Conditions that a transaction may have for each change that it may have (protocol). */
--- a/src/net/ancestors.c
+++ b/src/net/ancestors.c
@@ -71,11 +71,8 @@
 }
 
 static void
-traversal_finish (Traversal *traversal)
+traversal_free (Traversal *traversal)
 {
-  if (traversal->result == FT_ANCESTORS_OPEN)
-    cache_checked_jobs (traversal);
-  traversal->done (traversal->result, traversal->decisive_ref, traversal->data);
   g_queue_clear_full (&traversal->frontier, g_free);
   g_ptr_array_unref (traversal->open);
   g_hash_table_unref (traversal->discovered);
@@ -103,8 +100,9 @@
   g_queue_push_tail (&traversal->frontier, g_strdup (ref));
 }
 
-static void advance (Traversal *traversal);
+static void begin_visits (Traversal *traversal);
 
+/* Ends a visit, and with the last one the traversal. */
 static void
 visit_complete (Visit *visit)
 {
@@ -112,7 +110,13 @@
   g_free (visit->ref);
   g_free (visit);
   traversal->visits_in_flight--;
-  advance (traversal);
+  begin_visits (traversal);
+  if (traversal->visits_in_flight > 0)
+    return;
+  if (traversal->result == FT_ANCESTORS_OPEN)
+    cache_checked_jobs (traversal);
+  traversal->done (traversal->result, traversal->decisive_ref, traversal->data);
+  traversal_free (traversal);
 }
 
 static void
@@ -246,10 +250,10 @@
   return g_get_monotonic_time () - traversal->started_at > (gint64) (FT_USER_DEADLINE_S * FT_SECOND);
 }
 
-/* Visits the jobs of the frontier, up to FT_ANCESTORS_READS_MAX at a time, so that one transaction compares
- * the revisions of several jobs. Finishes the traversal when no visit is in flight. */
+/* Begins to visit the jobs of the frontier, up to FT_ANCESTORS_READS_MAX at a time, so that one transaction compares
+ * the revisions of several jobs. No visit completes before the function returns. */
 static void
-advance (Traversal *traversal)
+begin_visits (Traversal *traversal)
 {
   if (is_past_deadline (traversal))
     raise_result (traversal, FT_ANCESTORS_UNKNOWN, NULL);
@@ -259,8 +263,19 @@
     if (!is_decided_by_cache (traversal, ref))
       visit_begin (traversal, ref);
   }
-  if (traversal->visits_in_flight == 0)
-    traversal_finish (traversal);
+}
+
+/* Begins a traversal whose first jobs have been discovered. Returns FALSE, with `result` set and the traversal freed,
+ * if the job cache decides all of them. */
+static gboolean
+traversal_begin (Traversal *traversal, FtAncestorsResult *result)
+{
+  begin_visits (traversal);
+  if (traversal->visits_in_flight > 0)
+    return TRUE;
+  *result = traversal->result;
+  traversal_free (traversal);
+  return FALSE;
 }
 
 static Traversal *
@@ -276,13 +291,14 @@
   return traversal;
 }
 
-void
-ft_ancestors_check_named (FtNode *node, const char *const *dependencies, FtAncestorsDone done, gpointer data)
+gboolean
+ft_ancestors_check_named (FtNode *node, const char *const *dependencies, FtAncestorsResult *result,
+                          FtAncestorsDone done, gpointer data)
 {
   Traversal *traversal = traversal_new (node, done, data);
   for (guint i = 0; dependencies != NULL && dependencies[i] != NULL; i++)
     discover (traversal, dependencies[i]);
-  advance (traversal);
+  return traversal_begin (traversal, result);
 }
 
 /* Whether the job cache shows that the job needs no traversal. A job without dependencies, or whose
@@ -296,15 +312,15 @@
   return TRUE;
 }
 
-void
-ft_ancestors_check (FtNode *node, const char *ref, FtAncestorsDone done, gpointer data)
+gboolean
+ft_ancestors_check (FtNode *node, const char *ref, FtAncestorsResult *result, FtAncestorsDone done, gpointer data)
 {
   FtCachedJob *job = ft_job_cache_find (node->job_cache, ref);
   if (job != NULL && is_open_by_cache (node, job, g_get_monotonic_time ())) {
-    done (FT_ANCESTORS_OPEN, NULL, data);
-    return;
+    *result = FT_ANCESTORS_OPEN;
+    return FALSE;
   }
   Traversal *traversal = traversal_new (node, done, data);
   discover (traversal, ref);
-  advance (traversal);
+  return traversal_begin (traversal, result);
 }
--- a/src/net/ancestors.h
+++ b/src/net/ancestors.h
@@ -31,7 +31,7 @@
  *   with any other result
  * @data: the `data` argument of the check
  *
- * Called once for each check, possibly before the function that starts the check returns.
+ * Called once for each check that returned %TRUE, from the main loop after the check has returned.
  */
 typedef void (*FtAncestorsDone) (FtAncestorsResult result, const char *ref, gpointer data);
 
@@ -39,19 +39,27 @@
  * ft_ancestors_check_named:
  * @dependencies: (transfer none) (nullable): the refs of a submission's dependencies, %NULL-terminated;
  *   copied
- * @done: called once
+ * @result: (out): the result if the function returns %FALSE; not %FT_ANCESTORS_MISSING
+ * @done: called once if the function returns %TRUE
  * @data: passed to @done
  *
  * Checks the given jobs and their ancestors.
+ *
+ * Returns: %FALSE, with @result set and without calling @done, if the job cache has the result
  */
-void ft_ancestors_check_named (FtNode *node, const char *const *dependencies, FtAncestorsDone done, gpointer data);
+gboolean ft_ancestors_check_named (FtNode *node, const char *const *dependencies, FtAncestorsResult *result,
+                                   FtAncestorsDone done, gpointer data);
 
 /**
  * ft_ancestors_check:
  * @ref: the ref of an accepted job whose row has just been found open
- * @done: called once
+ * @result: (out): the result if the function returns %FALSE; not %FT_ANCESTORS_MISSING
+ * @done: called once if the function returns %TRUE
  * @data: passed to @done
  *
  * Checks the job and its ancestors.
+ *
+ * Returns: %FALSE, with @result set and without calling @done, if the job cache has the result
  */
-void ft_ancestors_check (FtNode *node, const char *ref, FtAncestorsDone done, gpointer data);
+gboolean ft_ancestors_check (FtNode *node, const char *ref, FtAncestorsResult *result, FtAncestorsDone done,
+                             gpointer data);
--- a/src/net/cancellation.h
+++ b/src/net/cancellation.h
@@ -11,7 +11,7 @@
  * @result: %FT_STORE_OK if the cancellation is committed; otherwise the callback should call
  *   ft_job_status_read_after_commit()
  *
- * Called once for each ft_cancellation_commit().
+ * Called once for each ft_cancellation_commit(), from the main loop after that function has returned.
  */
 typedef void (*FtCancellationDone) (FtUserRequest *request, FtStoreResult result);
 
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -211,6 +211,12 @@
  * @data: the `data` argument of ft_http_send()
  *
  * Called from the main loop, once for each request unless the client is freed first.
+ *
+ * The contract of this and of every other completion callback in src/net: it is called once, and never before the
+ * function that starts the operation has returned, whatever the result and however early it is known. The caller
+ * may therefore go on using what the callback frees, and a callback never runs inside another one. A function that
+ * knows the result at once either returns it and says that the callback is not called, or leaves the call to the
+ * main loop (see completion_queue.h). When the module that would call it is freed, the callback is not called.
  */
 typedef void (*FtHttpDone) (guint status, const json_t *body, gpointer data);
 
@@ -222,7 +228,7 @@
  * @size: the number of bytes in @body
  * @data: the `data` argument of ft_http_send_raw()
  *
- * Called from the main loop, once for each request unless the client is freed first.
+ * Called from the main loop, once for each request unless the client is freed first; see #FtHttpDone.
  */
 typedef void (*FtHttpRawDone) (guint status, const guint8 *body, gsize size, gpointer data);
 
--- a/src/net/job_status.c
+++ b/src/net/job_status.c
@@ -39,10 +39,8 @@
 }
 
 static void
-on_ancestors_checked (FtAncestorsResult result, const char *ref, gpointer data)
+answer_by_ancestors (FtUserRequest *request, FtAncestorsResult result)
 {
-  FtUserRequest *request = data;
-  (void) ref;
   json_t *ended = ft_job_answer_cached (request->node, request->ref);
   if (ended != NULL) {
     ft_user_request_answer (request, FT_HTTP_OK, ended); /* another request has read the job's end meanwhile */
@@ -56,11 +54,20 @@
   }
 }
 
+static void
+on_ancestors_checked (FtAncestorsResult result, const char *ref, gpointer data)
+{
+  (void) ref;
+  answer_by_ancestors (data, result);
+}
+
 /* Answers a request whose job's row is open. Checks the ancestors first, since one may have been cancelled. */
 static void
 answer_open (FtUserRequest *request)
 {
-  ft_ancestors_check (request->node, request->ref, on_ancestors_checked, request);
+  FtAncestorsResult result;
+  if (!ft_ancestors_check (request->node, request->ref, &result, on_ancestors_checked, request))
+    answer_by_ancestors (request, result);
 }
 
 /* ---- reading the row ---- */
--- a/src/net/leader_recovery.h
+++ b/src/net/leader_recovery.h
@@ -8,7 +8,8 @@
  * FtLeaderRecovered:
  * @data: the pointer that was passed with the callback
  *
- * Called when all rows have been passed to the scheduler.
+ * Called when all rows have been passed to the scheduler, from the main loop after ft_leader_recovery_start() has
+ * returned.
  */
 typedef void (*FtLeaderRecovered) (gpointer data);
 
--- a/src/net/polls.c
+++ b/src/net/polls.c
@@ -6,9 +6,11 @@
 #include "wire/store.h"
 
 struct _FtPolls {
-  FtNode *node;         /* borrowed */
-  GQueue waiting;       /* elements: Poll, oldest first; they wait for the next transaction */
-  GPtrArray *in_flight; /* elements: Poll, of the transaction in flight; NULL: no transaction is in flight */
+  FtNode *node;   /* borrowed */
+  GQueue waiting; /* elements: Poll, oldest first; they wait for the next transaction */
+  /* Elements: Poll, of the transaction that is composed or in flight, or whose answer is handled. While it is set,
+   * further polls only wait. NULL: there is no transaction, and no poll waits. */
+  GPtrArray *in_flight;
 };
 
 /* A poll of one job, waiting or in flight. */
@@ -58,40 +60,58 @@
 
 static void send_next (FtPolls *polls);
 
-/* The answer to a transaction that failed with a conflict names the rows that have changed. It proves nothing
- * about the other rows, so their polls return to the head of the queue, in the same order, and are compared
- * again at once. */
 static void
-finish_changed (FtPolls *polls, GPtrArray *compared, const json_t *body)
+finish_all (const GPtrArray *compared, FtPollResult result)
+{
+  for (guint i = 0; i < compared->len; i++)
+    poll_finish (g_ptr_array_index (compared, i), result);
+}
+
+/* Whether the answer to a transaction that failed with a conflict names the poll's row as changed. */
+static gboolean
+is_changed (const Poll *poll, const json_t *body)
+{
+  g_autofree char *key = ft_key_job (poll->ref);
+  return ft_store_failed (body, key);
+}
+
+static gboolean
+any_is_changed (const GPtrArray *compared, const json_t *body)
+{
+  for (guint i = 0; i < compared->len; i++)
+    if (is_changed (g_ptr_array_index (compared, i), body))
+      return TRUE;
+  return FALSE;
+}
+
+/* Finishes the polls whose rows have changed. The conflict proves nothing about the other rows, so their polls return
+ * to the head of the queue, in the same order, and are compared again at once. */
+static void
+finish_changed (FtPolls *polls, const GPtrArray *compared, const json_t *body)
 {
-  gboolean any_changed = FALSE;
   for (guint i = compared->len; i > 0; i--) {
     Poll *poll = g_ptr_array_index (compared, i - 1);
-    g_autofree char *key = ft_key_job (poll->ref);
-    if (!ft_store_failed (body, key)) {
+    if (!is_changed (poll, body)) {
       g_queue_push_head (&polls->waiting, poll);
       continue;
     }
-    any_changed = TRUE;
     ft_job_cache_remove_open (polls->node->job_cache, poll->ref);
     poll_finish (poll, FT_POLL_CHANGED);
   }
-  Poll *poll;
-  while (!any_changed && (poll = g_queue_pop_head (&polls->waiting)) != NULL)
-    poll_finish (poll, FT_POLL_FAILED); /* the answer names no compared row, so it proves nothing */
 }
 
 static void
 on_compared (FtStoreResult result, const json_t *body, gpointer data)
 {
   FtPolls *polls = data;
-  g_autoptr (GPtrArray) compared = g_steal_pointer (&polls->in_flight);
-  if (result == FT_STORE_CONFLICT) {
+  const GPtrArray *compared = polls->in_flight;
+  if (result == FT_STORE_OK)
+    finish_all (compared, FT_POLL_OPEN);
+  else if (result == FT_STORE_CONFLICT && any_is_changed (compared, body))
     finish_changed (polls, compared, body);
-  } else {
-    for (guint i = 0; i < compared->len; i++)
-      poll_finish (g_ptr_array_index (compared, i), result == FT_STORE_OK ? FT_POLL_OPEN : FT_POLL_FAILED);
-  }
+  else
+    finish_all (compared, FT_POLL_FAILED);
+  g_clear_pointer (&polls->in_flight, g_ptr_array_unref);
   send_next (polls);
 }
 
@@ -102,7 +122,8 @@
 }
 
 /* Sends as many waiting polls as fit into one transaction. Only one transaction is in flight at a time; the
- * polls that arrive meanwhile share the next transaction. */
+ * polls that arrive meanwhile share the next transaction. Polls that have waited too long are finished, which only
+ * happens after an answer: when a poll arrives and there is no transaction, no other poll waits. */
 static void
 send_next (FtPolls *polls)
 {
--- a/src/net/polls.h
+++ b/src/net/polls.h
@@ -25,7 +25,7 @@
  * @result: the result of the poll
  * @data: the `data` argument of ft_polls_add()
  *
- * Called once for each poll for which ft_polls_add() returned %TRUE, possibly before it returns.
+ * Called once for each poll for which ft_polls_add() returned %TRUE, from the main loop after it has returned.
  */
 typedef void (*FtPollDone) (FtPollResult result, gpointer data);
 
--- a/src/net/store_client.c
+++ b/src/net/store_client.c
@@ -2,6 +2,7 @@
 
 #include "core/constants.h"
 #include "net/budget.h"
+#include "net/completion_queue.h"
 #include "wire/store_messages.h"
 
 /* Maximum number of connections for requests of FT_STORE_PRIORITY_LEASE. */
@@ -24,6 +25,12 @@
   gpointer data;
 } Request;
 
+/* A request that was refused because its queue was full. */
+typedef struct {
+  FtStoreDone done;
+  gpointer data;
+} Refusal;
+
 /* The requests of one priority that wait for a budget. */
 typedef struct {
   GQueue requests; /* elements: Request, oldest first */
@@ -42,14 +49,22 @@
   FtBudget requests, writes;
   /* The index is the FtStorePriority; the queue of FT_STORE_PRIORITY_LEASE stays empty. */
   RequestQueue queues[QUEUE_COUNT];
-  guint writes_waiting; /* number of changes that the requests in the queues make */
-  guint queue_timer;    /* ID of the timer that checks the queues again; 0: none */
-  gint64 last_served;   /* when the store last served a request; 0: never */
+  FtCompletionQueue *refusals; /* elements: Refusal, whose callbacks the main loop calls */
+  guint writes_waiting;        /* number of changes that the requests in the queues make */
+  guint queue_timer;           /* ID of the timer that checks the queues again; 0: none */
+  gint64 last_served;          /* when the store last served a request; 0: never */
   gint64 failing_since; /* when the first request failed since `last_served`, not counting throttled ones; 0: none */
   guint in_flight;      /* number of requests that were sent and not answered yet */
   gint64 refusal_logged_at; /* when the last log line about a full queue was written; 0: never */
 };
 
+static void
+refusal_complete (gpointer data)
+{
+  g_autofree Refusal *refusal = data;
+  refusal->done (FT_STORE_UNAVAILABLE, NULL, refusal->data);
+}
+
 FtStoreClient *
 ft_store_client_new (const FtConfig *config)
 {
@@ -66,6 +81,7 @@
                   now);
   double writes = store->write_rps * FT_FOLLOWER_WRITE_SHARE;
   ft_budget_init (&store->writes, writes, writes, now);
+  store->refusals = ft_completion_queue_new (refusal_complete, g_free);
   for (int i = 0; i < QUEUE_COUNT; i++)
     g_queue_init (&store->queues[i].requests);
   return store;
@@ -89,6 +105,7 @@
     g_source_remove (store->queue_timer);
   for (int i = 0; i < QUEUE_COUNT; i++)
     g_queue_clear_full (&store->queues[i].requests, (GDestroyNotify) request_free);
+  ft_completion_queue_free (store->refusals);
   ft_http_client_free (store->client);
   ft_http_client_free (store->lease_client);
   ft_http_client_free (store->watch_client);
@@ -253,8 +270,7 @@
   }
 }
 
-/* Counts a request that is refused because its queue is full, and writes a log line unless one was written within
- * FT_STORE_FULL_LOG_S. */
+/* Counts a refused request, and writes a log line unless one was written within FT_STORE_FULL_LOG_S. */
 static void
 note_refused (FtStoreClient *store, FtStorePriority priority)
 {
@@ -267,16 +283,25 @@
              store->member, refused);
 }
 
-/* Sends or queues a request, or calls `done` with FT_STORE_UNAVAILABLE if its queue is full. Takes ownership of
- * `path`. */
+/* Refuses a request because its queue is full: the main loop calls `done` with FT_STORE_UNAVAILABLE. */
+static void
+refuse (FtStoreClient *store, FtStorePriority priority, FtStoreDone done, gpointer data)
+{
+  Refusal *refusal = g_new0 (Refusal, 1);
+  refusal->done = done;
+  refusal->data = data;
+  note_refused (store, priority);
+  ft_completion_queue_add (store->refusals, refusal);
+}
+
+/* Sends, queues or refuses a request. Takes ownership of `path`. */
 static void
 submit (FtStoreClient *store, const char *method, char *path, const json_t *body, FtStorePriority priority,
         FtStoreDone done, gpointer data)
 {
   if (priority == FT_STORE_PRIORITY_READ && queue_length (store, priority) >= FT_STORE_QUEUE_MAX) {
-    note_refused (store, priority);
     g_free (path);
-    done (FT_STORE_UNAVAILABLE, NULL, data);
+    refuse (store, priority, done, data);
     return;
   }
   Request *request = g_new0 (Request, 1);
--- a/src/net/store_client.h
+++ b/src/net/store_client.h
@@ -73,8 +73,9 @@
  * @body: (transfer none) (nullable): the answer's body; %NULL if there is none or it cannot be decoded
  * @data: the pointer that was passed with the request
  *
- * Called once for each request, unless the client is freed earlier. It is called by the main loop, or
- * before the requesting function returns if the queue of %FT_STORE_PRIORITY_READ is full.
+ * Called once for each request, unless the client is freed earlier. As every completion callback (see
+ * #FtHttpDone), it is called from the main loop: never before the requesting function has returned, also if
+ * the request is refused because its queue is full.
  */
 typedef void (*FtStoreDone) (FtStoreResult result, const json_t *body, gpointer data);
 
--- a/src/net/submission.c
+++ b/src/net/submission.c
@@ -122,7 +122,9 @@
   /* For a job with dependencies the time is 0 (unknown), since the check does not report when the rows of the
    * ancestors were read. */
   request->ancestors_checked_at = dependencies == NULL ? request->started_at : 0;
-  ft_ancestors_check_named (request->node, dependencies, on_dependencies_checked, request);
+  FtAncestorsResult result;
+  if (!ft_ancestors_check_named (request->node, dependencies, &result, on_dependencies_checked, request))
+    on_dependencies_checked (result, NULL, request);
 }
 
 /* ---- commit and answer: an open job ---- */
--- a/tests/test_user_request.cpp
+++ b/tests/test_user_request.cpp
@@ -9,9 +9,11 @@
 #include "loopback.hpp"
 
 extern "C" {
+#include "core/constants.h"
 #include "net/catalog_cache.h"
 #include "net/controller.h"
 #include "net/front.h"
+#include "net/job_cache.h"
 #include "net/metrics.h"
 #include "net/store_client.h"
 #include "wire/messages.h"
@@ -102,6 +104,7 @@
   std::deque<Script> scripts;
   std::vector<FtHttpRequest *> unanswered;
   bool down = false, has_catalog = true;
+  std::function<void ()> before_commit_answer; // called before the answer to a transaction is sent, if it is set
   ScriptedServices () : ServiceServers (on_state, on_cloud, this) {}
   ~ScriptedServices ()
   {
@@ -177,6 +180,8 @@
       self->follow_script (script, request);
     } else {
       auto answer = self->execute (request);
+      if (path == "/commit" && self->before_commit_answer)
+        self->before_commit_answer ();
       ft_http_respond (request, answer.first, answer.second);
     }
   }
@@ -249,6 +254,36 @@
     ft_controller_free (controller);
     ft_config_free (config);
   }
+  // Fills the queue of reads from the state service. Reads for the lease, which never wait, use up the budget for
+  // requests first, so that the queue stays full for more than a second.
+  void
+  fill_read_queue ()
+  {
+    auto ignore = [] (FtStoreResult, const json_t *, gpointer) {};
+    for (int i = 0; i < 250; i++)
+      ft_store_client_get (node->store, "l/fence", FT_STORE_PRIORITY_LEASE, ignore, nullptr);
+    while (ft_store_client_queue_status (node->store, FT_STORE_PRIORITY_READ).length < FT_STORE_QUEUE_MAX)
+      ft_store_client_get (node->store, "j/req-99", FT_STORE_PRIORITY_READ, ignore, nullptr);
+  }
+  // Writes the rows of a job with dependencies, and puts it into the controller's cache as open and not checked.
+  void
+  put_and_cache_job (const char *ref, std::vector<std::string> dependencies)
+  {
+    services.put_job (ref, dependencies);
+    auto row = services.store.get (std::string ("j/") + ref);
+    auto revision = (guint64) json_integer_value (json_object_get (row.second, "stamp"));
+    json_decref (row.second);
+    FtCachedJob *job = ft_job_cache_add_open (node->job_cache, ref, revision, TRUE);
+    g_autoptr (GStrvBuilder) refs = g_strv_builder_new ();
+    for (const std::string &dependency : dependencies)
+      g_strv_builder_add (refs, dependency.c_str ());
+    job->dependencies = g_strv_builder_end (refs);
+  }
+  guint64
+  refused_reads () const
+  {
+    return ft_store_client_queue_status (node->store, FT_STORE_PRIORITY_READ).refused;
+  }
   // Sends one request and returns the status of its answer. Checks that the request was answered once, and that the
   // state service has used all of `scripts`.
   guint
@@ -386,6 +421,31 @@
   EXPECT_EQ (ft_metrics_value (node->metrics, FT_COUNT_CANCELLED_BY_DEPENDENCY), 1u);
 }
 
+// Guards against a check of ancestors that is freed while it still starts reads, because a read that the full queue
+// refuses reports its failure before the function that starts it has returned (crash of all controllers, review/1).
+TEST_F (UserRequest, SubmissionWithDependenciesIsAnsweredOnceWhileTheReadQueueIsFull)
+{
+  start ();
+  fill_read_queue ();
+  EXPECT_EQ (submit (job_after ("req-10", { "req-1", "req-2", "req-3" })), 503u);
+  EXPECT_GE (refused_reads (), 3u) << "no read of the check of ancestors was refused";
+}
+
+// Guards against the same failure when a user asks about a job, which the comparison of revisions has just shown open.
+TEST_F (UserRequest, PollOfAJobWithDependenciesIsAnsweredOnceWhileTheReadQueueIsFull)
+{
+  start ();
+  put_and_cache_job ("req-4", { "req-1", "req-2", "req-3" });
+  guint64 refused_before = 0;
+  services.before_commit_answer = [&] {
+    fill_read_queue ();
+    refused_before = refused_reads ();
+  };
+  EXPECT_EQ (poll ("req-4"), 503u);
+  EXPECT_GT (refused_reads (), refused_before) << "no read of the check of ancestors was refused";
+  services.before_commit_answer = nullptr;
+}
+
 TEST_F (UserRequest, CancellationIsAnsweredOnceOnEachPath)
 {
   start ();
