The store client frees its requests in flight when it is freed

Found by going through the paths of completion callbacks, the end of a module among them. No user saw it: the process ends then.

Cause: only the HTTP clients referred to requests in flight, and these drop what they refer to without a call. The memory of the requests was lost; the callbacks were rightly not called.

Change: the store client keeps its requests in flight in a queue and frees them after the HTTP clients. Refusals that have not been reported are dropped with it.

Tests: StoreClient.NoCallbackIsCalledAfterTheClientIsFreed and Polls.NoCallbackIsCalledAfterThePollsAreFreed, red before (LeakSanitizer). HttpClient.* holds the contract of the HTTP client on each path: it held it before.

--- a/src/net/store_client.c
+++ b/src/net/store_client.c
@@ -12,15 +12,16 @@
 /* Number of queues of requests, one for each priority. */
 #define QUEUE_COUNT (FT_STORE_PRIORITY_READ + 1)
 
-/* A request, from its submission until its callback returns. */
+/* A request, from its submission until its callback returns. One of the store client's queues owns it. */
 typedef struct {
   FtStoreClient *store; /* borrowed */
+  GList link;           /* in `in_flight` of the store client while the request awaits its answer */
   char *method, *path;
   json_t *body; /* a reference; NULL: the request has no body */
   double timeout_s;
   FtStorePriority priority;
-  guint writes;  /* number of changes that the transaction makes; 0: the request changes nothing */
-  guint resends; /* number of times that it was sent again after the store had throttled it */
+  guint writes;      /* number of changes that the transaction makes; 0: the request changes nothing */
+  guint resends;     /* number of times that it was sent again after the store had throttled it */
   FtStoreDone done;
   gpointer data;
 } Request;
@@ -54,7 +55,7 @@
   guint queue_timer;           /* ID of the timer that checks the queues again; 0: none */
   gint64 last_served;          /* when the store last served a request; 0: never */
   gint64 failing_since; /* when the first request failed since `last_served`, not counting throttled ones; 0: none */
-  guint in_flight;      /* number of requests that were sent and not answered yet */
+  GQueue in_flight;     /* elements: Request, that were sent and not answered yet */
   gint64 refusal_logged_at; /* when the last log line about a full queue was written; 0: never */
 };
 
@@ -82,6 +83,7 @@
   double writes = store->write_rps * FT_FOLLOWER_WRITE_SHARE;
   ft_budget_init (&store->writes, writes, writes, now);
   store->refusals = ft_completion_queue_new (refusal_complete, g_free);
+  g_queue_init (&store->in_flight);
   for (int i = 0; i < QUEUE_COUNT; i++)
     g_queue_init (&store->queues[i].requests);
   return store;
@@ -96,6 +98,15 @@
   g_free (request);
 }
 
+/* Frees the requests in flight. The HTTP clients must be freed first, since their requests refer to them. */
+static void
+free_in_flight (FtStoreClient *store)
+{
+  GList *link;
+  while ((link = g_queue_pop_head_link (&store->in_flight)) != NULL)
+    request_free (link->data);
+}
+
 void
 ft_store_client_free (FtStoreClient *store)
 {
@@ -109,6 +120,7 @@
   ft_http_client_free (store->client);
   ft_http_client_free (store->lease_client);
   ft_http_client_free (store->watch_client);
+  free_in_flight (store);
   g_free (store->addr);
   g_free (store->member);
   g_free (store);
@@ -198,7 +210,7 @@
   FtStoreClient *store = request->store;
   FtStoreResult result = result_of_status (status);
   gint64 now = g_get_monotonic_time ();
-  store->in_flight--;
+  g_queue_unlink (&store->in_flight, &request->link);
   if (result == FT_STORE_THROTTLED && resend_throttled (request, now))
     return;
   if (is_served (result)) {
@@ -214,11 +226,36 @@
 static void
 send_request (Request *request, FtHttpClient *client)
 {
-  request->store->in_flight++;
+  request->link = (GList){ .data = request };
+  g_queue_push_tail_link (&request->store->in_flight, &request->link);
   ft_http_send (client, request->method, request->store->addr, request->path, FT_BODY_CBOR, request->body,
                 request->timeout_s, FALSE, on_answer, request);
 }
 
+/* Writes a log line about a request that the full queue of reads refuses, unless one was written within
+ * FT_STORE_FULL_LOG_S. */
+static void
+log_full_queue (FtStoreClient *store)
+{
+  gint64 now = g_get_monotonic_time ();
+  if (store->refusal_logged_at > 0 && now - store->refusal_logged_at < (gint64) (FT_STORE_FULL_LOG_S * FT_SECOND))
+    return;
+  store->refusal_logged_at = now;
+  g_warning ("node %s: the queue of reads from the key-value store is full: %" G_GUINT64_FORMAT " refused so far",
+             store->member, store->queues[FT_STORE_PRIORITY_READ].refused);
+}
+
+/* Refuses a request without sending it: the main loop calls `done` with FT_STORE_UNAVAILABLE. */
+static void
+refuse (FtStoreClient *store, FtStorePriority priority, FtStoreDone done, gpointer data)
+{
+  Refusal *refusal = g_new0 (Refusal, 1);
+  refusal->done = done;
+  refusal->data = data;
+  store->queues[priority].refused++;
+  ft_completion_queue_add (store->refusals, refusal);
+}
+
 static gboolean
 on_queue_timer (gpointer data)
 {
@@ -270,30 +307,6 @@
   }
 }
 
-/* Counts a refused request, and writes a log line unless one was written within FT_STORE_FULL_LOG_S. */
-static void
-note_refused (FtStoreClient *store, FtStorePriority priority)
-{
-  gint64 now = g_get_monotonic_time ();
-  guint64 refused = ++store->queues[priority].refused;
-  if (store->refusal_logged_at > 0 && now - store->refusal_logged_at < (gint64) (FT_STORE_FULL_LOG_S * FT_SECOND))
-    return;
-  store->refusal_logged_at = now;
-  g_warning ("node %s: the queue of reads from the key-value store is full: %" G_GUINT64_FORMAT " refused so far",
-             store->member, refused);
-}
-
-/* Refuses a request because its queue is full: the main loop calls `done` with FT_STORE_UNAVAILABLE. */
-static void
-refuse (FtStoreClient *store, FtStorePriority priority, FtStoreDone done, gpointer data)
-{
-  Refusal *refusal = g_new0 (Refusal, 1);
-  refusal->done = done;
-  refusal->data = data;
-  note_refused (store, priority);
-  ft_completion_queue_add (store->refusals, refusal);
-}
-
 /* Sends, queues or refuses a request. Takes ownership of `path`. */
 static void
 submit (FtStoreClient *store, const char *method, char *path, const json_t *body, FtStorePriority priority,
@@ -302,6 +315,7 @@
   if (priority == FT_STORE_PRIORITY_READ && queue_length (store, priority) >= FT_STORE_QUEUE_MAX) {
     g_free (path);
     refuse (store, priority, done, data);
+    log_full_queue (store);
     return;
   }
   Request *request = g_new0 (Request, 1);
@@ -457,5 +471,5 @@
 guint
 ft_store_client_in_flight (const FtStoreClient *store)
 {
-  return store->in_flight;
+  return g_queue_get_length ((GQueue *) &store->in_flight);
 }
--- a/src/net/store_client.h
+++ b/src/net/store_client.h
@@ -143,8 +143,9 @@
  * ft_store_client_free:
  * @store: (nullable) (transfer full): the client
  *
- * Drops the requests in flight and in the queues without calling their callbacks. Data that only a callback
- * would free is leaked, which is acceptable only at the end of the process. See ft_store_client_in_flight().
+ * Drops the requests in flight and in the queues without calling their callbacks, also those of refused
+ * requests. Callers' data that only a callback would free is leaked, which is acceptable only at the end of the
+ * process. See ft_store_client_in_flight().
  */
 void ft_store_client_free (FtStoreClient *store);
 
--- a/tests/test_polls.cpp
+++ b/tests/test_polls.cpp
@@ -195,6 +195,18 @@
   expect_done (polls, FT_POLL_FAILED);
 }
 
+TEST_F (Polls, NoCallbackIsCalledAfterThePollsAreFreed)
+{
+  stand_in.answer = StoreStandIn::Answer::kNone;
+  poll ();
+  poll ();
+  wait_for ([&] { return stand_in.requests > 0; });
+  free_modules ();
+  wait_for_second_calls ();
+  for (const PollCall &call : polls)
+    EXPECT_EQ (call.calls, 0u);
+}
+
 TEST_F (Polls, PollBeyondTheLimitIsNotAdded)
 {
   make_client (StoreStandIn::kOneRequest);
--- a/tests/test_store_client.cpp
+++ b/tests/test_store_client.cpp
@@ -200,4 +200,16 @@
   expect_done (first, FT_STORE_UNANSWERED);
 }
 
+TEST_F (StoreClient, NoCallbackIsCalledAfterTheClientIsFreed)
+{
+  stand_in.make_client (StoreStandIn::kOneRequest);
+  stand_in.answer = StoreStandIn::Answer::kNone;
+  stand_in.fill_read_queue (); // one request is in flight, the others wait
+  request_all_priorities ();   // those for reads are refused
+  stand_in.free_client ();
+  wait_for_second_calls ();
+  for (const StoreCall &call : calls)
+    EXPECT_EQ (call.calls, 0u) << call.name;
+}
+
 } // namespace
