--- a/src/net/store_client.c
+++ b/src/net/store_client.c
@@ -21,6 +21,7 @@
   double timeout_s;
   FtStorePriority priority;
   guint writes;      /* number of changes that the transaction makes; 0: the request changes nothing */
+  gint64 created_at; /* monotonic, microseconds */
   guint resends;     /* number of times that it was sent again after the store had throttled it */
   FtStoreDone done;
   gpointer data;
@@ -36,7 +37,7 @@
 typedef struct {
   GQueue requests; /* elements: Request, oldest first */
   guint longest;   /* greatest length so far */
-  guint64 refused; /* number of requests that were refused because the queue was full */
+  guint64 refused; /* number of requests that were refused without being sent */
 } RequestQueue;
 
 struct _FtStoreClient {
@@ -256,11 +257,27 @@
   ft_completion_queue_add (store->refusals, refusal);
 }
 
+/* Gives up the reads that have waited for longer than a user request may wait: their callbacks get
+ * FT_STORE_UNAVAILABLE. */
+static void
+give_up_late_reads (FtStoreClient *store, gint64 now)
+{
+  RequestQueue *queue = &store->queues[FT_STORE_PRIORITY_READ];
+  const Request *oldest;
+  while ((oldest = g_queue_peek_head (&queue->requests)) != NULL
+         && now - oldest->created_at > (gint64) (FT_USER_DEADLINE_S * FT_SECOND)) {
+    Request *request = g_queue_pop_head (&queue->requests);
+    refuse (store, FT_STORE_PRIORITY_READ, request->done, request->data);
+    request_free (request);
+  }
+}
+
 static gboolean
 on_queue_timer (gpointer data)
 {
   FtStoreClient *store = data;
   store->queue_timer = 0;
+  give_up_late_reads (store, g_get_monotonic_time ());
   send_queued (store);
   return G_SOURCE_REMOVE;
 }
@@ -326,6 +343,7 @@
   request->priority = priority;
   request->writes = ft_txn_change_count (body);
   request->timeout_s = FT_STORE_TIMEOUT_S;
+  request->created_at = g_get_monotonic_time ();
   request->done = done;
   request->data = data;
   if (priority == FT_STORE_PRIORITY_LEASE) {
--- a/src/net/store_client.h
+++ b/src/net/store_client.h
@@ -23,7 +23,8 @@
  * @FT_STORE_PRIORITY_CANCEL: users' cancellations and the reads that they need; sent before all other
  *     requests that wait for a budget
  * @FT_STORE_PRIORITY_COMMIT: the leader's batches and reads, submissions, and operators' changes
- * @FT_STORE_PRIORITY_READ: reads for users and of the settings; at most FT_STORE_QUEUE_MAX wait
+ * @FT_STORE_PRIORITY_READ: reads for users and of the settings; at most FT_STORE_QUEUE_MAX wait, for at most
+ *     FT_USER_DEADLINE_S
  *
  * The order in which requests that wait for a budget are sent.
  */
@@ -44,7 +45,8 @@
  * @FT_STORE_INVALID: the store refused the request as invalid and will never accept it
  * @FT_STORE_THROTTLED: the store refused the request because of its rate limits; the client has resent the
  *     request FT_STORE_RESENDS times, or does not resend requests of this priority
- * @FT_STORE_UNAVAILABLE: the store refused the request for now, or the client's queue is full
+ * @FT_STORE_UNAVAILABLE: the store refused the request for now, or the client did not send it, because its queue is
+ *     full or it has waited for too long
  * @FT_STORE_UNANSWERED: no answer came in time; the request may still be executed
  * @FT_STORE_FAILED: the answer has a status that the protocol does not define
  * @FT_STORE_MALFORMED: the result was %FT_STORE_OK, but the body cannot be parsed; returned only by the
@@ -207,7 +209,8 @@
  * FtStoreQueueStatus:
  * @length: number of requests that wait for a budget now
  * @longest: the greatest @length since the client was made
- * @refused: number of requests that were refused since then because the queue was full
+ * @refused: number of requests that were refused since then, because the queue was full or they had waited for too
+ *     long
  *
  * How full one queue of requests is.
  */
--- a/tests/test_store_client.cpp
+++ b/tests/test_store_client.cpp
@@ -161,6 +161,21 @@
   expect_done (0, FT_STORE_OK);
 }
 
+TEST_F (StoreClient, ReadIsRefusedWhenItHasWaitedForLongerThanAUserMayWait)
+{
+  stand_in.make_client (StoreStandIn::kOneRequest);
+  stand_in.fill_read_queue ();
+  size_t first = calls.size ();
+  get (FT_STORE_PRIORITY_CANCEL);
+  get (FT_STORE_PRIORITY_COMMIT);
+  guint queued = ft_store_client_queued (stand_in.client);
+  EXPECT_TRUE (wait_for ([&] { return stand_in.read_queue ().length == 0; }));
+  EXPECT_EQ (queued, FT_STORE_QUEUE_MAX + 1u);
+  EXPECT_EQ (stand_in.read_queue ().refused, (guint64) FT_STORE_QUEUE_MAX);
+  EXPECT_EQ (ft_store_client_queued (stand_in.client), 1u) << "the read for the leader still waits";
+  EXPECT_EQ (calls[first].calls + calls[first + 1].calls, 0u);
+}
+
 TEST_F (StoreClient, CallbackComesAfterTheReturnWhenTheStoreThrottles)
 {
   stand_in.make_client (StoreStandIn::kManyRequests);
--- a/tests/test_user_request.cpp
+++ b/tests/test_user_request.cpp
@@ -254,16 +254,25 @@
     ft_controller_free (controller);
     ft_config_free (config);
   }
-  // Fills the queue of reads from the state service. Reads for the lease, which never wait, use up the budget for
-  // requests first, so that the queue stays full for more than a second.
+  static void
+  ignore_answer (FtStoreResult, const json_t *, gpointer)
+  {
+  }
+  // Uses up the budget for requests, by reads for the lease, which never wait. The controller may send about 110
+  // requests per second.
+  void
+  exhaust_request_budget (int reads)
+  {
+    for (int i = 0; i < reads; i++)
+      ft_store_client_get (node->store, "l/fence", FT_STORE_PRIORITY_LEASE, ignore_answer, nullptr);
+  }
+  // Fills the queue of reads from the state service, for more than a second.
   void
   fill_read_queue ()
   {
-    auto ignore = [] (FtStoreResult, const json_t *, gpointer) {};
-    for (int i = 0; i < 250; i++)
-      ft_store_client_get (node->store, "l/fence", FT_STORE_PRIORITY_LEASE, ignore, nullptr);
+    exhaust_request_budget (250);
     while (ft_store_client_queue_status (node->store, FT_STORE_PRIORITY_READ).length < FT_STORE_QUEUE_MAX)
-      ft_store_client_get (node->store, "j/req-99", FT_STORE_PRIORITY_READ, ignore, nullptr);
+      ft_store_client_get (node->store, "j/req-99", FT_STORE_PRIORITY_READ, ignore_answer, nullptr);
   }
   // Writes the rows of a job with dependencies, and puts it into the controller's cache as open and not checked.
   void
@@ -446,6 +455,14 @@
   services.before_commit_answer = nullptr;
 }
 
+// Guards against a question that is never answered because its read waits for the exhausted budget.
+TEST_F (UserRequest, PollIsAnsweredOnceWhileTheRequestBudgetStaysExhausted)
+{
+  start ();
+  exhaust_request_budget (1000);
+  EXPECT_EQ (poll ("req-1"), 503u);
+}
+
 TEST_F (UserRequest, CancellationIsAnsweredOnceOnEachPath)
 {
   start ();
