Retries of the leader's requests end with the controller

Found by going through the paths of completion callbacks, the end of a module among them. No user saw it: the process ends then.

Cause: a request that waits for its next retry was only known to its timer. After ft_leader_free() the timer would use the freed term.

Change: the term lists its requests that wait for a retry, and ft_leader_free() drops them first.

Test: LeaderRequestModule.RetryIsNotSentAfterTheEndOfTheController; without the call that drops the retries the request is sent, and the test is red.

--- a/src/net/leader.c
+++ b/src/net/leader.c
@@ -8,6 +8,7 @@
 #include "net/leader_commands.h"
 #include "net/leader_dependencies.h"
 #include "net/leader_recovery.h"
+#include "net/leader_request.h"
 #include "net/leader_rows.h"
 #include "net/leader_watch.h"
 #include "net/metrics.h"
@@ -55,6 +56,7 @@
 {
   if (leader == NULL)
     return;
+  ft_leader_request_drop_retries (&leader->term);
   ft_leader_dependencies_free (leader->dependencies);
   ft_leader_commands_free (leader->commands);
   ft_leader_cloud_free (leader->cloud);
--- a/src/net/leader_request.c
+++ b/src/net/leader_request.c
@@ -38,6 +38,8 @@
 on_retry_timer (gpointer data)
 {
   FtLeaderRequest *request = data;
+  request->retry_timer = 0;
+  g_queue_unlink (&request->term->retries, &request->retry_link);
   if (term_is_over (request))
     request_free (request);
   else
@@ -45,6 +47,17 @@
   return G_SOURCE_REMOVE;
 }
 
+void
+ft_leader_request_drop_retries (FtLeaderTerm *term)
+{
+  GList *link;
+  while ((link = g_queue_pop_head_link (&term->retries)) != NULL) {
+    FtLeaderRequest *request = link->data;
+    g_source_remove (request->retry_timer);
+    request_free (request);
+  }
+}
+
 static void
 retry_later (FtLeaderRequest *request)
 {
@@ -52,7 +65,9 @@
       = MIN (FT_BACKOFF_FIRST_S * (1u << MIN (request->retries, FT_BACKOFF_DOUBLINGS_MAX)), FT_BACKOFF_LONGEST_S);
   pause_s *= g_rand_double_range (request->term->node->random, FT_BACKOFF_JITTER_LEAST, FT_BACKOFF_JITTER_MOST);
   request->retries++;
-  g_timeout_add ((guint) (pause_s * FT_MS_PER_SECOND), on_retry_timer, request);
+  request->retry_timer = g_timeout_add ((guint) (pause_s * FT_MS_PER_SECOND), on_retry_timer, request);
+  request->retry_link = (GList){ .data = request };
+  g_queue_push_tail_link (&request->term->retries, &request->retry_link);
 }
 
 /* Carries out the outcome of the request's handler. Takes ownership of the request. */
--- a/src/net/leader_request.h
+++ b/src/net/leader_request.h
@@ -65,6 +65,8 @@
  * @owner: borrowed: the module of the leader that made the request; only its own handlers use it
  * @created_at: when the request was made
  * @retries: number of times that the request was sent again
+ * @retry_timer: ID of the timer of the next retry; 0: the request is not waiting for one
+ * @retry_link: in `retries` of the term while the request waits for its next retry
  * @superseded_reason: static text, set by a handler that returns %FT_LEADER_OUTCOME_SUPERSEDED
  *
  * The part that the contexts of all requests have in common.
@@ -76,6 +78,8 @@
   gpointer owner;
   gint64 created_at;
   guint retries;
+  guint retry_timer;
+  GList retry_link;
   const char *superseded_reason;
 };
 
@@ -96,6 +100,14 @@
  */
 void ft_leader_request_send (FtLeaderRequest *request);
 
+/**
+ * ft_leader_request_drop_retries:
+ *
+ * Frees the requests that wait for their next retry. Called at the end of the controller, before the modules that made
+ * the requests are freed.
+ */
+void ft_leader_request_drop_retries (FtLeaderTerm *term);
+
 /**
  * ft_leader_request_on_store_answer:
  * @data: (transfer full): the FtLeaderRequest
--- a/src/net/leader_term.h
+++ b/src/net/leader_term.h
@@ -27,6 +27,7 @@
  * @progress_data: data of @progress
  * @superseded: ends the term; called when an answer shows that another controller leads
  * @superseded_data: data of @superseded
+ * @retries: requests that are sent again after a backoff pause; private to leader_request.c
  *
  * The current term of this controller. While the controller does not lead, there is no scheduler.
  */
@@ -39,4 +40,5 @@
   gpointer progress_data;
   FtLeaderSuperseded superseded;
   gpointer superseded_data;
+  GQueue retries;
 } FtLeaderTerm;
--- a/tests/test_module_leader_request.cpp
+++ b/tests/test_module_leader_request.cpp
@@ -2,6 +2,7 @@
 // again keeps its context.
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <string>
 
 extern "C" {
@@ -81,13 +82,19 @@
     counts.outcome = outcome;
     ft_leader_request_on_store_answer (FT_STORE_OK, nullptr, counts.last);
   }
-  void
-  wait_for_retry ()
+  // Runs the main loop for longer than the pause before the first retry, or until the condition holds.
+  static void
+  run_past_retry (std::function<bool ()> condition)
   {
     gint64 end = g_get_monotonic_time () + (gint64) (2 * FT_BACKOFF_FIRST_S * FT_BACKOFF_JITTER_MOST * FT_SECOND);
-    while (counts.sent == 1 && counts.cleared == 0 && g_get_monotonic_time () < end)
+    while (!condition () && g_get_monotonic_time () < end)
       g_main_context_iteration (nullptr, FALSE);
   }
+  void
+  wait_for_retry ()
+  {
+    run_past_retry ([&] { return counts.sent > 1 || counts.cleared > 0; });
+  }
 };
 
 TEST_F (LeaderRequestModule, AnswerInTheTermOfItsRequestIsHandledAndTheHandlersOutcomeIsApplied)
@@ -133,6 +140,16 @@
   EXPECT_EQ (counts.sent, 1u);
 }
 
+// Guards against a retry that uses the leader's modules after these were freed.
+TEST_F (LeaderRequestModule, RetryIsNotSentAfterTheEndOfTheController)
+{
+  answer (FT_LEADER_OUTCOME_RETRY);
+  ft_leader_request_drop_retries (&term);
+  EXPECT_EQ (counts.cleared, 1u);
+  run_past_retry ([] { return false; });
+  EXPECT_EQ (counts.sent, 1u);
+}
+
 TEST_F (LeaderRequestModule, AnswerThatShowsAnotherLeaderEndsTheTermAndReportsTheHandlersReason)
 {
   answer (FT_LEADER_OUTCOME_SUPERSEDED);
