--- a/src/net/leader_batches.c
+++ b/src/net/leader_batches.c
@@ -4,6 +4,7 @@
 #include "core/lease.h"
 #include "net/leader_request.h"
 #include "net/metrics.h"
+#include "net/store_answers.h"
 #include "net/store_client.h"
 #include "wire/store.h"
 
--- a/src/net/leader_dependencies.c
+++ b/src/net/leader_dependencies.c
@@ -2,6 +2,7 @@
 
 #include "core/constants.h"
 #include "net/leader_request.h"
+#include "net/store_answers.h"
 #include "net/store_client.h"
 #include "wire/store.h"
 
--- a/src/net/leader_recovery.c
+++ b/src/net/leader_recovery.c
@@ -7,6 +7,7 @@
 #include "net/leader_rows.h"
 #include "net/malformed.h"
 #include "net/metrics.h"
+#include "net/store_answers.h"
 #include "net/store_client.h"
 #include "wire/store.h"
 
--- a/src/net/leader_watch.c
+++ b/src/net/leader_watch.c
@@ -3,6 +3,7 @@
 #include "net/leader_recovery.h"
 #include "net/leader_request.h"
 #include "net/malformed.h"
+#include "net/store_answers.h"
 #include "net/store_client.h"
 #include "wire/store.h"
 
--- a/tests/store_stand_in.hpp
+++ b/tests/store_stand_in.hpp
@@ -114,12 +114,4 @@
   }
 };
 
-// Runs the main loop for as long as a second call of a callback could take.
-inline void
-wait_for_second_calls ()
-{
-  gint64 end = g_get_monotonic_time () + 50 * FT_MILLISECOND;
-  wait_for ([&] { return g_get_monotonic_time () > end; });
-}
-
 } // namespace loopback
--- a/tests/test_polls.cpp
+++ b/tests/test_polls.cpp
@@ -1,9 +1,6 @@
 // Polls of open jobs, and checks of their ancestors, against a stand-in for the key-value store. On each path the
 // callback is called once, and never before the function that starts the operation has returned (net/http.h).
-#include <gtest/gtest.h>
-
-#include <deque>
-
+#include "completion_call.hpp"
 #include "store_stand_in.hpp"
 
 extern "C" {
@@ -16,34 +13,15 @@
 
 namespace {
 
-// An operation, and the calls of its callback.
-template <typename Result> struct Operation {
-  bool returned = false;         // whether the function that starts it has returned
-  guint calls = 0;               // of the callback
-  guint calls_before_return = 0; // of the callback, before that function had returned
-  Result result{};
-  guintptr stack = 0;             // address of the callback's stack frame
-  std::function<void ()> on_call; // called by the callback, if it is set
-  void
-  complete (Result result_)
-  {
-    calls++;
-    calls_before_return += !returned;
-    result = result_;
-    stack = (guintptr) __builtin_frame_address (0);
-    if (on_call)
-      on_call ();
-  }
-};
-using PollCall = Operation<FtPollResult>;
-using CheckCall = Operation<FtAncestorsResult>;
+using PollCall = CompletionCall<FtPollResult>;
+using CheckCall = CompletionCall<FtAncestorsResult>;
 
 class Polls : public testing::Test {
 protected:
   // The greatest difference between the stack frames of callbacks that are called at the same depth of recursion.
   static constexpr guintptr kOneDepthBytes = 4096;
-  std::deque<PollCall> polls;
-  std::deque<CheckCall> checks;
+  CompletionCalls<FtPollResult> polls;
+  CompletionCalls<FtAncestorsResult> checks;
   FtNode node{};
   StoreStandIn stand_in;
 
@@ -91,7 +69,7 @@
   PollCall &
   poll (std::function<void ()> on_call = nullptr)
   {
-    PollCall &call = polls.emplace_back ();
+    PollCall &call = add_call (polls, "poll");
     call.on_call = on_call;
     auto on_done = [] (FtPollResult result, gpointer data) { ((PollCall *) data)->complete (result); };
     EXPECT_TRUE (ft_polls_add (node.polls, "req-1", on_done, &call));
@@ -107,7 +85,7 @@
   CheckCall &
   check (const char *ref)
   {
-    CheckCall &call = checks.emplace_back ();
+    CheckCall &call = add_call (checks, ref);
     FtAncestorsResult result;
     EXPECT_TRUE (ft_ancestors_check (&node, ref, &result, on_checked, &call)) << ref;
     call.returned = true;
@@ -116,25 +94,12 @@
   CheckCall &
   check_named (const char *const *refs)
   {
-    CheckCall &call = checks.emplace_back ();
+    CheckCall &call = add_call (checks, "check of named jobs");
     FtAncestorsResult result;
     EXPECT_TRUE (ft_ancestors_check_named (&node, refs, &result, on_checked, &call));
     call.returned = true;
     return call;
   }
-  template <typename Result>
-  static void
-  expect_done (const std::deque<Operation<Result> > &calls, Result result)
-  {
-    EXPECT_TRUE (wait_for (
-        [&] { return std::all_of (calls.begin (), calls.end (), [] (const auto &call) { return call.calls > 0; }); }));
-    wait_for_second_calls ();
-    for (const auto &call : calls) {
-      EXPECT_EQ (call.calls, 1u);
-      EXPECT_EQ (call.calls_before_return, 0u);
-      EXPECT_EQ (call.result, result);
-    }
-  }
   // The number of bytes of the stack between the callbacks that were called highest and lowest.
   guintptr
   stack_between_callbacks () const
@@ -202,9 +167,7 @@
   poll ();
   wait_for ([&] { return stand_in.requests > 0; });
   free_modules ();
-  wait_for_second_calls ();
-  for (const PollCall &call : polls)
-    EXPECT_EQ (call.calls, 0u);
+  expect_never_called (polls);
 }
 
 TEST_F (Polls, PollBeyondTheLimitIsNotAdded)
--- a/tests/test_store_answers.cpp
+++ b/tests/test_store_answers.cpp
@@ -5,7 +5,7 @@
 #include <gtest/gtest.h>
 
 extern "C" {
-#include "net/store_client.h"
+#include "net/store_answers.h"
 }
 
 namespace {
--- a/tests/test_store_client.cpp
+++ b/tests/test_store_client.cpp
@@ -1,72 +1,55 @@
 // The client of the key-value store against a stand-in over loopback: its queues, and on each path the contract of
 // completion callbacks (net/http.h): the callback is called once, and never before the requesting function has
 // returned.
-#include <gtest/gtest.h>
-
-#include <deque>
-
+#include "completion_call.hpp"
 #include "store_stand_in.hpp"
 
 using namespace loopback;
 
 namespace {
 
-// A request to the store client, and the calls of its callback.
-struct StoreCall {
-  std::string name;              // the requesting function
-  bool returned = false;         // whether that function has returned
-  guint calls = 0;               // of the callback
-  guint calls_before_return = 0; // of the callback, before that function had returned
-  FtStoreResult result = FT_STORE_OK;
-  static void
-  on_done (FtStoreResult result, const json_t *, gpointer data)
-  {
-    auto self = (StoreCall *) data;
-    self->calls++;
-    self->calls_before_return += !self->returned;
-    self->result = result;
-  }
-};
+using StoreCall = CompletionCall<FtStoreResult>;
+
+void
+on_done (FtStoreResult result, const json_t *, gpointer data)
+{
+  ((StoreCall *) data)->complete (result);
+}
 
 class StoreClient : public testing::Test {
 protected:
-  std::deque<StoreCall> calls;
+  CompletionCalls<FtStoreResult> calls;
   StoreStandIn stand_in;
 
-  StoreCall *
-  new_call (const char *name)
-  {
-    return &calls.emplace_back (StoreCall{ name });
-  }
   void
   get (FtStorePriority priority)
   {
-    StoreCall *call = new_call ("get");
-    ft_store_client_get (stand_in.client, "j/req-1", priority, StoreCall::on_done, call);
-    call->returned = true;
+    StoreCall &call = add_call (calls, "get");
+    ft_store_client_get (stand_in.client, "j/req-1", priority, on_done, &call);
+    call.returned = true;
   }
   void
   list (FtStorePriority priority)
   {
-    StoreCall *call = new_call ("list");
-    ft_store_client_list (stand_in.client, "j/", nullptr, priority, StoreCall::on_done, call);
-    call->returned = true;
+    StoreCall &call = add_call (calls, "list");
+    ft_store_client_list (stand_in.client, "j/", nullptr, priority, on_done, &call);
+    call.returned = true;
   }
   void
   commit (FtStorePriority priority)
   {
-    StoreCall *call = new_call ("commit");
+    StoreCall &call = add_call (calls, "commit");
     json_auto_t *txn = ft_txn_new_check ();
     ft_txn_if (txn, "j/req-1", 7);
-    ft_store_client_commit (stand_in.client, txn, priority, StoreCall::on_done, call);
-    call->returned = true;
+    ft_store_client_commit (stand_in.client, txn, priority, on_done, &call);
+    call.returned = true;
   }
   void
   watch ()
   {
-    StoreCall *call = new_call ("watch");
-    ft_store_client_watch (stand_in.client, "o/", 1, StoreCall::on_done, call);
-    call->returned = true;
+    StoreCall &call = add_call (calls, "watch");
+    ft_store_client_watch (stand_in.client, "o/", 1, on_done, &call);
+    call.returned = true;
   }
   void
   request_all (FtStorePriority priority)
@@ -84,21 +67,6 @@
       request_all (priority);
     watch ();
   }
-  // Waits until the callbacks of all calls from `first` on were called, and checks that each was called once, with that
-  // result, after the requesting function had returned.
-  void
-  expect_done (size_t first, FtStoreResult result)
-  {
-    EXPECT_TRUE (wait_for ([&] {
-      return std::all_of (calls.begin () + (long) first, calls.end (), [] (auto &call) { return call.calls > 0; });
-    }));
-    wait_for_second_calls ();
-    for (size_t i = first; i < calls.size (); i++) {
-      EXPECT_EQ (calls[i].calls, 1u) << calls[i].name;
-      EXPECT_EQ (calls[i].calls_before_return, 0u) << calls[i].name;
-      EXPECT_EQ (calls[i].result, result) << calls[i].name;
-    }
-  }
 };
 
 TEST_F (StoreClient, QueueStatusShowsWaitingAndRefusedRequests)
@@ -120,7 +88,7 @@
 {
   stand_in.make_client (StoreStandIn::kManyRequests);
   get (FT_STORE_PRIORITY_READ);
-  expect_done (0, FT_STORE_OK);
+  expect_done (calls, FT_STORE_OK);
   FtStoreQueueStatus reads = stand_in.read_queue ();
   EXPECT_EQ (reads.length, 0u);
   EXPECT_EQ (reads.longest, 1u);
@@ -134,7 +102,7 @@
   stand_in.fill_read_queue ();
   size_t first = calls.size ();
   request_all (FT_STORE_PRIORITY_READ);
-  expect_done (first, FT_STORE_UNAVAILABLE);
+  expect_done (calls, FT_STORE_UNAVAILABLE, first);
 }
 
 // Guards against a renewal of the lease that waits behind the callbacks of refused reads.
@@ -158,7 +126,7 @@
   while (ft_store_client_queued (stand_in.client) == 0)
     get (FT_STORE_PRIORITY_READ);
   request_all_priorities ();
-  expect_done (0, FT_STORE_OK);
+  expect_done (calls, FT_STORE_OK);
 }
 
 TEST_F (StoreClient, ReadIsRefusedWhenItHasWaitedForLongerThanAUserMayWait)
@@ -181,7 +149,7 @@
   stand_in.make_client (StoreStandIn::kManyRequests);
   stand_in.answer = StoreStandIn::Answer::kThrottled;
   request_all_priorities ();
-  expect_done (0, FT_STORE_THROTTLED);
+  expect_done (calls, FT_STORE_THROTTLED);
 }
 
 TEST_F (StoreClient, CallbackComesAfterTheReturnWhenTheStoreRefuses)
@@ -189,11 +157,11 @@
   stand_in.make_client (StoreStandIn::kManyRequests);
   stand_in.answer = StoreStandIn::Answer::kUnavailable;
   request_all_priorities ();
-  expect_done (0, FT_STORE_UNAVAILABLE);
+  expect_done (calls, FT_STORE_UNAVAILABLE);
   size_t first = calls.size ();
   stand_in.answer = StoreStandIn::Answer::kInvalidStatus;
   request_all_priorities ();
-  expect_done (first, FT_STORE_FAILED);
+  expect_done (calls, FT_STORE_FAILED, first);
 }
 
 TEST_F (StoreClient, CallbackComesAfterTheReturnWhenTheDeadlinePasses)
@@ -201,18 +169,18 @@
   stand_in.make_client (StoreStandIn::kManyRequests);
   stand_in.answer = StoreStandIn::Answer::kNone;
   request_all_priorities ();
-  expect_done (0, FT_STORE_UNANSWERED);
+  expect_done (calls, FT_STORE_UNANSWERED);
 }
 
 TEST_F (StoreClient, CallbackComesAfterTheReturnWhenTheConnectionIsRefusedOrLost)
 {
   stand_in.make_client (StoreStandIn::kManyRequests);
   request_all_priorities ();
-  expect_done (0, FT_STORE_OK); // leaves connections open, which end with the server
+  expect_done (calls, FT_STORE_OK); // leaves connections open, which end with the server
   stand_in.stop ();
   size_t first = calls.size ();
   request_all_priorities ();
-  expect_done (first, FT_STORE_UNANSWERED);
+  expect_done (calls, FT_STORE_UNANSWERED, first);
 }
 
 TEST_F (StoreClient, NoCallbackIsCalledAfterTheClientIsFreed)
@@ -222,9 +190,7 @@
   stand_in.fill_read_queue (); // one request is in flight, the others wait
   request_all_priorities ();   // those for reads are refused
   stand_in.free_client ();
-  wait_for_second_calls ();
-  for (const StoreCall &call : calls)
-    EXPECT_EQ (call.calls, 0u) << call.name;
+  expect_never_called (calls);
 }
 
 } // namespace
