--- a/src/core/context.h
+++ b/src/core/context.h
@@ -3,7 +3,7 @@
  * otherwise; the other modules borrow it. All times are microseconds of the steady clock. The scheduler sets
  * `now` from the event that it handles: no module of the core reads a clock. */
 #pragma once
-#include "core/constants.h"
+#include "core/duration.h"
 #include "core/tuning.h"
 #include "core/types.h"
 
@@ -31,10 +31,3 @@
   gint64 cloud_answered_at;         /* when the cloud last answered; 0: never; set by the autoscaler */
   gint64 cancellations_known_until; /* every cancellation committed before this time is known */
 } FtCoreContext;
-
-/* Converts seconds to microseconds and rounds towards zero. */
-static inline gint64
-ft_seconds (double seconds)
-{
-  return (gint64) (seconds * FT_SECOND);
-}
--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -1,6 +1,7 @@
 #include "core/lease.h"
 
 #include "core/constants.h"
+#include "core/duration.h"
 #include "core/lease_suspicion.h"
 
 struct _FtLease {
@@ -142,7 +143,7 @@
 static void
 schedule_early_sweep (FtLease *lease, gint64 now)
 {
-  lease->next_sweep = now + MIN (lease->next_sweep - now, (gint64) (FT_SWEEP_RETRY_S * FT_SECOND));
+  lease->next_sweep = now + MIN (lease->next_sweep - now, ft_seconds (FT_SWEEP_RETRY_S));
 }
 
 /* Keeps a copy of rows that have changed. */
@@ -196,7 +197,7 @@
   if (lease->state != FT_LEASE_FOLLOWING || lease->suspicion != FT_LEASE_SUSPICION_NONE || !lease->rows_known
       || g_strcmp0 (lease->last_rows.holder, holder) != 0)
     return;
-  gboolean fence_stable = now - lease->fence_since > (gint64) (FT_SUSPECT_FENCE_STABLE_S * FT_SECOND);
+  gboolean fence_stable = now - lease->fence_since > ft_seconds (FT_SUSPECT_FENCE_STABLE_S);
   gboolean claim_at_once = confirmed && fence_stable;
   g_message ("lease %s: holder %s suspected to be gone (%s)", lease->member, holder,
              claim_at_once ? "confirmed" : "not confirmed");
@@ -266,7 +267,7 @@
 static void
 extend_lease (FtLease *lease, gint64 sent_at)
 {
-  gint64 margin = (gint64) (FT_LEASE_MARGIN_S * FT_SECOND);
+  gint64 margin = ft_seconds (FT_LEASE_MARGIN_S);
   lease->valid_until
       = MAX (lease->valid_until, sent_at + (gint64) (lease->sent_lease_us * (1 - FT_CLOCK_DRIFT)) - margin);
   lease->last_contact = MAX (lease->last_contact, sent_at);
@@ -322,7 +323,7 @@
 ft_lease_renew_failed (FtLease *lease, gint64 now)
 {
   lease->next_renewal
-      = now + (gint64) (g_rand_double_range (lease->random, FT_RENEW_RETRY_MIN_S, FT_RENEW_RETRY_MAX_S) * FT_SECOND);
+      = now + ft_seconds (g_rand_double_range (lease->random, FT_RENEW_RETRY_MIN_S, FT_RENEW_RETRY_MAX_S));
 }
 
 /* Drops the claim or the lease, and schedules a sweep at once. */
@@ -346,7 +347,7 @@
 void
 ft_lease_released (FtLease *lease, gint64 now)
 {
-  lease->no_claim_before = now + (gint64) (FT_ABSTAIN_S * FT_SECOND);
+  lease->no_claim_before = now + ft_seconds (FT_ABSTAIN_S);
   return_to_following (lease, now, "released");
 }
 
@@ -379,7 +380,7 @@
 ft_lease_may_start (const FtLease *lease, gint64 now)
 {
   return lease->state == FT_LEASE_HOLDING && now < lease->valid_until && lease->cancellations_known
-         && now < lease->cancellations_known_until + (gint64) (FT_CANCELLATIONS_FRESH_S * FT_SECOND);
+         && now < lease->cancellations_known_until + ft_seconds (FT_CANCELLATIONS_FRESH_S);
 }
 
 /* An answer prolongs the worker's lease and so every task that runs there. Such a task may belong to a job that was
--- a/src/core/machine_eviction.c
+++ b/src/core/machine_eviction.c
@@ -63,7 +63,7 @@
 static gboolean
 is_cancellation_urgent (const FtCoreContext *context, gint64 age)
 {
-  return age > (gint64) (FT_CANCELLED_SCALE_IN_SHARE * context->settings->cancel_s * FT_SECOND);
+  return age > ft_seconds (FT_CANCELLED_SCALE_IN_SHARE * context->settings->cancel_s);
 }
 
 static gboolean
--- a/src/core/placement_rank.c
+++ b/src/core/placement_rank.c
@@ -1,6 +1,7 @@
 #include "core/placement_rank.h"
 
 #include "core/constants.h"
+#include "core/duration.h"
 
 /* In overload, serving the earliest deadline first would make every job late. Therefore a job that can no longer be in
  * time is served after the jobs that still can, for a limited time. */
@@ -9,7 +10,7 @@
 {
   if (job->deadline_at == 0)
     return FALSE;
-  gint64 still_needed = (gint64) (job->spec->estimate_s * FT_TOO_LATE_SHARE * FT_SECOND);
+  gint64 still_needed = ft_seconds (job->spec->estimate_s * FT_TOO_LATE_SHARE);
   gint64 deferral = (gint64) (FT_TOO_LATE_DEFERRAL * (double) (job->deadline_at - job->accepted_at));
   return now + still_needed > job->deadline_at && now < job->deadline_at + deferral;
 }
--- a/src/core/tuning.c
+++ b/src/core/tuning.c
@@ -1,6 +1,7 @@
 #include "core/tuning.h"
 
 #include "core/constants.h"
+#include "core/duration.h"
 
 static const char *const log_choices[] = FT_LOG_CHOICES;
 
@@ -55,7 +56,7 @@
 {
   double grace_s
       = settings->cancel_s - settings->lease_s - FT_ANSWER_GRACE_MARGIN_S - settings->cancel_s * FT_CLOCK_DRIFT;
-  return (gint64) (MAX (grace_s, 0) * FT_SECOND);
+  return ft_seconds (MAX (grace_s, 0));
 }
 
 char *
--- a/src/core/zone.c
+++ b/src/core/zone.c
@@ -1,6 +1,7 @@
 #include "core/zone.h"
 
 #include "core/constants.h"
+#include "core/duration.h"
 #include "core/machine.h"
 
 static void
@@ -108,5 +109,5 @@
 ft_zone_launch_requested (FtZone *zone, gint64 now)
 {
   if (zone->unreachable)
-    zone->probe_at = now + (gint64) (FT_ZONE_PROBE_EVERY_S * FT_SECOND);
+    zone->probe_at = now + ft_seconds (FT_ZONE_PROBE_EVERY_S);
 }
--- a/src/net/ancestors.c
+++ b/src/net/ancestors.c
@@ -1,6 +1,7 @@
 #include "net/ancestors.h"
 
 #include "core/constants.h"
+#include "core/duration.h"
 #include "net/job_cache.h"
 #include "net/polls.h"
 #include "net/store_client.h"
@@ -38,7 +39,7 @@
 static gboolean
 is_fresh (const FtNode *node, const FtCachedJob *job, gint64 now)
 {
-  gint64 fresh_us = (gint64) (node->config->core.cancel_s * FT_ANCESTORS_FRESH_SHARE * FT_SECOND);
+  gint64 fresh_us = ft_seconds (node->config->core.cancel_s * FT_ANCESTORS_FRESH_SHARE);
   return job->checked_at > 0 && now - job->checked_at < fresh_us;
 }
 
@@ -247,7 +248,7 @@
 static gboolean
 is_past_deadline (const Traversal *traversal)
 {
-  return g_get_monotonic_time () - traversal->started_at > (gint64) (FT_USER_DEADLINE_S * FT_SECOND);
+  return g_get_monotonic_time () - traversal->started_at > ft_seconds (FT_USER_DEADLINE_S);
 }
 
 /* Begins to visit the jobs of the frontier, up to FT_ANCESTORS_READS_MAX at a time, so that one transaction compares
--- a/src/net/catalog_cache.c
+++ b/src/net/catalog_cache.c
@@ -1,6 +1,7 @@
 #include "net/catalog_cache.h"
 
 #include "core/constants.h"
+#include "core/duration.h"
 #include "wire/cloud.h"
 
 struct _FtCatalogCache {
@@ -44,7 +45,7 @@
   FtCatalog *catalog = answered ? ft_cloud_catalog (body) : NULL;
   double pause_s = catalog != NULL ? FT_CATALOG_EVERY_S : FT_CATALOG_RETRY_S;
   cache->in_flight = FALSE;
-  cache->next_read_at = g_get_monotonic_time () + (gint64) (pause_s * FT_SECOND);
+  cache->next_read_at = g_get_monotonic_time () + ft_seconds (pause_s);
   if (answered && catalog == NULL)
     ft_malformed_log_add (cache->malformed, FT_COUNT_MALFORMED_CLOUD, "catalog");
   if (catalog == NULL)
--- a/src/net/controller.c
+++ b/src/net/controller.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "core/constants.h"
+#include "core/duration.h"
 #include "core/lease.h"
 #include "net/admin.h"
 #include "net/catalog_cache.h"
@@ -50,8 +51,8 @@
 {
   const FtNode *node = data;
   FtScheduler *scheduler = ft_leader_scheduler (node->leader);
-  ft_lease_set_times (node->lease, (gint64) (tuning->lease_s * FT_SECOND), (gint64) (tuning->sweep_s * FT_SECOND),
-                      tuning->sweep_jitter, tuning->renewals_per_lease);
+  ft_lease_set_times (node->lease, ft_seconds (tuning->lease_s), ft_seconds (tuning->sweep_s), tuning->sweep_jitter,
+                      tuning->renewals_per_lease);
   if (scheduler != NULL)
     ft_scheduler_set_tuning (scheduler, tuning);
 }
@@ -79,7 +80,7 @@
   const FtNode *node = &controller->node;
   gint64 late_us = controller->last_tick > 0 ? now - controller->last_tick - FT_TICK_MS * FT_MILLISECOND : 0;
   controller->last_tick = now;
-  if (late_us <= (gint64) (FT_LATE_TICK_S * FT_SECOND))
+  if (late_us <= ft_seconds (FT_LATE_TICK_S))
     return;
   ft_leadership_note_stall (node->leadership, now);
   g_warning ("node %s: its timers were late by %.1f s", node->config->member, (double) late_us / FT_SECOND);
@@ -107,8 +108,8 @@
 {
   node->incarnation = ((guint64) g_rand_int (node->random) << 30) ^ g_rand_int (node->random);
   node->answer_grace_us = ft_tuning_answer_grace (&node->config->core);
-  node->lease = ft_lease_new (node->config->member, node->incarnation, (gint64) (FT_LEASE_S * FT_SECOND),
-                              (gint64) (FT_SWEEP_S * FT_SECOND), node->answer_grace_us, g_rand_int (node->random));
+  node->lease = ft_lease_new (node->config->member, node->incarnation, ft_seconds (FT_LEASE_S), ft_seconds (FT_SWEEP_S),
+                              node->answer_grace_us, g_rand_int (node->random));
 }
 
 static void
--- a/src/net/heartbeat_queue.c
+++ b/src/net/heartbeat_queue.c
@@ -1,6 +1,7 @@
 #include "net/heartbeat_queue.h"
 
 #include "core/constants.h"
+#include "core/duration.h"
 
 struct _FtHeartbeatQueue {
   const FtHeartbeatQueueHooks *hooks;
@@ -37,7 +38,7 @@
 backlog_is_late (FtHeartbeatQueue *queue, gint64 now)
 {
   const QueuedHeartbeat *oldest = g_queue_peek_head (&queue->waiting);
-  return oldest != NULL && now - oldest->arrived_at > (gint64) (FT_HEARTBEAT_LATE_S * FT_SECOND);
+  return oldest != NULL && now - oldest->arrived_at > ft_seconds (FT_HEARTBEAT_LATE_S);
 }
 
 /* Records since when heartbeats wait too long, and reports to the queue's owner if they do. */
--- a/src/net/leader.c
+++ b/src/net/leader.c
@@ -1,6 +1,7 @@
 #include "net/leader.h"
 
 #include "core/constants.h"
+#include "core/duration.h"
 #include "core/lease.h"
 #include "net/catalog_cache.h"
 #include "net/leader_batches.h"
@@ -156,7 +157,7 @@
   ft_leader_cloud_tick (leader->cloud, now);
   if (now < leader->next_scheduler_tick)
     return;
-  leader->next_scheduler_tick = now + (gint64) (FT_SCHEDULER_TICK_S * FT_SECOND);
+  leader->next_scheduler_tick = now + ft_seconds (FT_SCHEDULER_TICK_S);
   ft_scheduler_tick (leader->term.scheduler, now, ft_lease_may_start (leader->term.node->lease, now));
   ft_leader_run_actions (leader, now);
 }
--- a/src/net/leader_batches.c
+++ b/src/net/leader_batches.c
@@ -1,6 +1,7 @@
 #include "net/leader_batches.h"
 
 #include "core/constants.h"
+#include "core/duration.h"
 #include "core/lease.h"
 #include "net/leader_request.h"
 #include "net/metrics.h"
@@ -195,7 +196,7 @@
              node->config->member, batch->writes->len);
   shrink_batches (batches);
   ft_scheduler_lower_value_limit (batches->term->scheduler);
-  batches->not_before = g_get_monotonic_time () + (gint64) (FT_BATCH_INVALID_PAUSE_S * FT_SECOND);
+  batches->not_before = g_get_monotonic_time () + ft_seconds (FT_BATCH_INVALID_PAUSE_S);
   finish_batch (batch, FALSE, NULL);
   return FT_LEADER_OUTCOME_PROGRESS;
 }
--- a/src/net/leader_cloud.c
+++ b/src/net/leader_cloud.c
@@ -1,6 +1,7 @@
 #include "net/leader_cloud.h"
 
 #include "core/constants.h"
+#include "core/duration.h"
 #include "net/budget.h"
 #include "net/http.h"
 #include "net/leader_request.h"
@@ -171,7 +172,7 @@
     return;
   if (!ft_budget_has (&cloud->budget, 1, now) || !ft_scheduler_is_loaded (cloud->term->scheduler))
     return;
-  cloud->next_list_at = now + (gint64) (FT_LIST_EVERY_S * FT_SECOND);
+  cloud->next_list_at = now + ft_seconds (FT_LIST_EVERY_S);
   read_list (cloud, ft_listed_new ());
 }
 
--- a/src/net/leader_request.c
+++ b/src/net/leader_request.c
@@ -1,6 +1,7 @@
 #include "net/leader_request.h"
 
 #include "core/constants.h"
+#include "core/duration.h"
 
 gpointer
 ft_leader_request_new (FtLeaderTerm *term, const FtLeaderRequestKind *kind, gpointer owner)
@@ -122,5 +123,5 @@
 {
   double pause_s
       = g_rand_double_range (term->node->random, FT_BACKOFF_JITTER_LEAST, FT_BACKOFF_JITTER_MOST) * FT_BACKOFF_FIRST_S;
-  return g_get_monotonic_time () + (gint64) (pause_s * FT_SECOND);
+  return g_get_monotonic_time () + ft_seconds (pause_s);
 }
--- a/src/net/leadership.c
+++ b/src/net/leadership.c
@@ -1,6 +1,7 @@
 #include "net/leadership.h"
 
 #include "core/constants.h"
+#include "core/duration.h"
 #include "core/lease.h"
 #include "net/heartbeat_queue.h"
 #include "net/leader.h"
@@ -49,12 +50,6 @@
   return ft_leader_scheduler (leadership->node->leader) != NULL;
 }
 
-static gint64
-seconds (double count)
-{
-  return (gint64) (count * FT_SECOND);
-}
-
 /* ---- terms ---- */
 
 static void
@@ -204,12 +199,12 @@
 is_cut_off (const FtLeadership *leadership, gint64 now)
 {
   const FtNode *node = leadership->node;
-  gint64 longest_gap = seconds (node->config->core.heartbeat_s * FT_HEARTBEAT_GAP_INTERVALS + FT_CUT_OFF_MARGIN_S);
+  gint64 longest_gap = ft_seconds (node->config->core.heartbeat_s * FT_HEARTBEAT_GAP_INTERVALS + FT_CUT_OFF_MARGIN_S);
   /* While this controller may not answer heartbeats, workers send them to other controllers, and need
    * FT_CUT_OFF_GRACE_S to return. Without this grace period a leader that had just renewed its lease after
    * an outage of the store released the lease, and no controller led until the next failover was over. */
   gint64 answering_since = MAX (ft_leader_term_began_at (node->leader), leadership->answers_interrupted_until);
-  if (now - answering_since < seconds (FT_CUT_OFF_GRACE_S))
+  if (now - answering_since < ft_seconds (FT_CUT_OFF_GRACE_S))
     return FALSE;
   /* The time before the end of the last stall does not count: this process receives no heartbeats while it is
    * stalled, so their absence in that time does not show that the leader is cut off. */
@@ -230,9 +225,9 @@
 {
   const FtNode *node = leadership->node;
   gint64 overrun_since = ft_heartbeat_queue_overrun_since (node->heartbeat_queue);
-  return overrun_since > 0 && ft_peers_any_served_by_store (node->peers, now - seconds (FT_PEER_FRESH_S), now)
-         && now - overrun_since > seconds (FT_OVERRUN_S)
-         && now - ft_leader_term_began_at (node->leader) > seconds (FT_OVERRUN_LEADERSHIP_MIN_S);
+  return overrun_since > 0 && ft_peers_any_served_by_store (node->peers, now - ft_seconds (FT_PEER_FRESH_S), now)
+         && now - overrun_since > ft_seconds (FT_OVERRUN_S)
+         && now - ft_leader_term_began_at (node->leader) > ft_seconds (FT_OVERRUN_LEADERSHIP_MIN_S);
 }
 
 /* The reason why this leader should resign, for the log line; NULL: there is none. */
@@ -252,7 +247,7 @@
 ft_leadership_store_unreachable_only_here (const FtLeadership *leadership, gint64 now)
 {
   const FtNode *node = leadership->node;
-  gint64 lost_at = ft_store_client_failing_since (node->store) + seconds (FT_PEER_SERVED_MARGIN_S);
+  gint64 lost_at = ft_store_client_failing_since (node->store) + ft_seconds (FT_PEER_SERVED_MARGIN_S);
   return !ft_store_client_has_contact (node->store, now) && ft_peers_any_served_by_store (node->peers, lost_at, now);
 }
 
@@ -262,7 +257,7 @@
   const FtNode *node = leadership->node;
   /* Requests that failed while this process was stalled do not show a network fault. */
   gint64 steady_since = MAX (ft_leader_term_began_at (node->leader), leadership->timers_late_until);
-  return ft_lease_state (node->lease) == FT_LEASE_HOLDING && now > steady_since + seconds (FT_CUT_OFF_GRACE_S)
+  return ft_lease_state (node->lease) == FT_LEASE_HOLDING && now > steady_since + ft_seconds (FT_CUT_OFF_GRACE_S)
          && ft_leadership_store_unreachable_only_here (leadership, now);
 }
 
@@ -305,7 +300,7 @@
 gboolean
 ft_leadership_advertises_yield (const FtLeadership *leadership, gint64 now)
 {
-  return leadership->yielded_at > 0 && now - leadership->yielded_at < seconds (FT_YIELD_ADVERTISED_S);
+  return leadership->yielded_at > 0 && now - leadership->yielded_at < ft_seconds (FT_YIELD_ADVERTISED_S);
 }
 
 const char *
--- a/src/net/malformed.c
+++ b/src/net/malformed.c
@@ -1,6 +1,7 @@
 #include "net/malformed.h"
 
 #include "core/constants.h"
+#include "core/duration.h"
 
 struct _FtMalformedLog {
   const char *member;            /* borrowed */
@@ -29,7 +30,7 @@
   gint64 now = g_get_monotonic_time ();
   ft_metrics_count (log->metrics, source);
   gint64 last = log->logged_at[source];
-  if (last > 0 && now - last < (gint64) (FT_MALFORMED_LOG_S * FT_SECOND))
+  if (last > 0 && now - last < ft_seconds (FT_MALFORMED_LOG_S))
     return;
   log->logged_at[source] = now;
   g_warning ("node %s: a malformed %s was refused (%s: %" G_GUINT64_FORMAT ")", log->member, message_kind,
--- a/src/net/peers.c
+++ b/src/net/peers.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "core/constants.h"
+#include "core/duration.h"
 
 /* Maximum number of connections to one peer. */
 #define CONNECTIONS_PER_PEER 2
@@ -84,7 +85,7 @@
 static void
 add_cancellations (FtPeers *peers, FtPeerHeartbeat *heartbeat, gint64 now)
 {
-  drop_old_cancellations (peers, now - (gint64) (FT_PEER_CANCELLATIONS_S * FT_SECOND));
+  drop_old_cancellations (peers, now - ft_seconds (FT_PEER_CANCELLATIONS_S));
   for (GList *link = peers->recent_cancellations.tail;
        link != NULL && heartbeat->cancellations->len < FT_PEER_CANCELLATIONS_MAX; link = link->prev)
     g_ptr_array_add (heartbeat->cancellations, g_strdup (((RecentCancellation *) link->data)->ref));
@@ -133,7 +134,7 @@
   for (guint i = 0; i < peers->all->len; i++) {
     const Peer *peer = peer_at (peers, i);
     if (peer->refusals_in_row == 0 && peer->answered_at > 0
-        && now - peer->answered_at < (gint64) (FT_PEER_ANSWER_FRESH_S * FT_SECOND))
+        && now - peer->answered_at < ft_seconds (FT_PEER_ANSWER_FRESH_S))
       return TRUE;
   }
   return FALSE;
@@ -144,8 +145,8 @@
 on_refused (FtPeers *peers, Peer *peer, gint64 now)
 {
   peer->refusals_in_row++;
-  ft_peers_schedule_heartbeat (peers, MIN (peers->next_heartbeat_at, now + (gint64) (FT_PEER_RETRY_S * FT_SECOND)));
-  gboolean silent = now - peer->last_heartbeat_at > (gint64) (FT_PEER_EVERY_S * FT_SECOND);
+  ft_peers_schedule_heartbeat (peers, MIN (peers->next_heartbeat_at, now + ft_seconds (FT_PEER_RETRY_S)));
+  gboolean silent = now - peer->last_heartbeat_at > ft_seconds (FT_PEER_EVERY_S);
   if (peer->refusals_in_row >= FT_PEER_SUSPECT_REFUSALS && silent)
     peers->hooks->suspected (peer->address->member, another_peer_answers (peers, now), now, peers->data);
 }
@@ -157,7 +158,7 @@
   Peer *peer = peer_at (request->peers, request->index);
   gint64 now = g_get_monotonic_time ();
   gboolean answered = status != FT_HTTP_NO_ANSWER;
-  gboolean timed_out = now - peer->sent_at > (gint64) (FT_PEER_REFUSED_WITHIN_S * FT_SECOND);
+  gboolean timed_out = now - peer->sent_at > ft_seconds (FT_PEER_REFUSED_WITHIN_S);
   peer->in_flight = FALSE;
   if (answered)
     peer->answered_at = now;
@@ -191,7 +192,7 @@
 {
   if (now < peers->next_heartbeat_at)
     return;
-  ft_peers_schedule_heartbeat (peers, now + (gint64) (FT_PEER_EVERY_S * FT_SECOND));
+  ft_peers_schedule_heartbeat (peers, now + ft_seconds (FT_PEER_EVERY_S));
   g_autoptr (FtPeerHeartbeat) heartbeat = ft_peer_heartbeat_new (peers->config->member);
   add_cancellations (peers, heartbeat, now);
   peers->hooks->compose (heartbeat, now, peers->data);
@@ -258,7 +259,7 @@
 static gboolean
 is_live (const Peer *peer, gint64 now)
 {
-  return peer->last_heartbeat_at > 0 && now - peer->last_heartbeat_at <= (gint64) (FT_PEER_FRESH_S * FT_SECOND);
+  return peer->last_heartbeat_at > 0 && now - peer->last_heartbeat_at <= ft_seconds (FT_PEER_FRESH_S);
 }
 
 gboolean
--- a/src/net/polls.c
+++ b/src/net/polls.c
@@ -1,6 +1,7 @@
 #include "net/polls.h"
 
 #include "core/constants.h"
+#include "core/duration.h"
 #include "net/job_cache.h"
 #include "net/store_client.h"
 #include "wire/store.h"
@@ -118,7 +119,7 @@
 static gboolean
 is_past_deadline (const Poll *poll)
 {
-  return g_get_monotonic_time () - poll->arrived_at > (gint64) (FT_USER_DEADLINE_S * FT_SECOND);
+  return g_get_monotonic_time () - poll->arrived_at > ft_seconds (FT_USER_DEADLINE_S);
 }
 
 /* Sends as many waiting polls as fit into one transaction. Only one transaction is in flight at a time; the
--- a/src/net/settings_reader.c
+++ b/src/net/settings_reader.c
@@ -1,6 +1,7 @@
 #include "net/settings_reader.h"
 
 #include "core/constants.h"
+#include "core/duration.h"
 #include "log.h"
 #include "wire/store.h"
 
@@ -80,7 +81,7 @@
 {
   if (now < reader->next_read_at || reader->in_flight)
     return;
-  reader->next_read_at = now + (gint64) (FT_SETTINGS_EVERY_S * FT_SECOND);
+  reader->next_read_at = now + ft_seconds (FT_SETTINGS_EVERY_S);
   reader->in_flight = TRUE;
   ft_store_client_get (reader->store, FT_KEY_SETTINGS, FT_STORE_PRIORITY_READ, on_read, reader);
 }
--- a/src/net/store_client.c
+++ b/src/net/store_client.c
@@ -1,6 +1,7 @@
 #include "net/store_client.h"
 
 #include "core/constants.h"
+#include "core/duration.h"
 #include "net/budget.h"
 #include "net/completion_queue.h"
 #include "wire/store_messages.h"
@@ -239,7 +240,7 @@
 log_full_queue (FtStoreClient *store)
 {
   gint64 now = g_get_monotonic_time ();
-  if (store->refusal_logged_at > 0 && now - store->refusal_logged_at < (gint64) (FT_STORE_FULL_LOG_S * FT_SECOND))
+  if (store->refusal_logged_at > 0 && now - store->refusal_logged_at < ft_seconds (FT_STORE_FULL_LOG_S))
     return;
   store->refusal_logged_at = now;
   g_warning ("node %s: the queue of reads from the key-value store is full: %" G_GUINT64_FORMAT " refused so far",
@@ -265,7 +266,7 @@
   RequestQueue *queue = &store->queues[FT_STORE_PRIORITY_READ];
   const Request *oldest;
   while ((oldest = g_queue_peek_head (&queue->requests)) != NULL
-         && now - oldest->created_at > (gint64) (FT_USER_DEADLINE_S * FT_SECOND)) {
+         && now - oldest->created_at > ft_seconds (FT_USER_DEADLINE_S)) {
     Request *request = g_queue_pop_head (&queue->requests);
     refuse (store, FT_STORE_PRIORITY_READ, request->done, request->data);
     request_free (request);
@@ -398,7 +399,7 @@
 {
   if (store->last_served == 0)
     return FALSE;
-  return store->failing_since == 0 || now - store->failing_since < (gint64) (FT_CONTACT_LOST_S * FT_SECOND);
+  return store->failing_since == 0 || now - store->failing_since < ft_seconds (FT_CONTACT_LOST_S);
 }
 
 gint64
--- a/src/net/user_request.c
+++ b/src/net/user_request.c
@@ -1,6 +1,7 @@
 #include "net/user_request.h"
 
 #include "core/constants.h"
+#include "core/duration.h"
 #include "net/metrics.h"
 
 FtUserRequest *
@@ -28,7 +29,7 @@
 gboolean
 ft_user_request_is_past_deadline (const FtUserRequest *request)
 {
-  return g_get_monotonic_time () - request->started_at > (gint64) (FT_USER_DEADLINE_S * FT_SECOND);
+  return g_get_monotonic_time () - request->started_at > ft_seconds (FT_USER_DEADLINE_S);
 }
 
 static FtCounter
