A batch whose answer is not understood is repeated after a pause

Found by going through the retries on failure. Operators would see a leader that uses its whole share of the store's rate limits for one batch, while the store answers with a conflict that names no row of the batch, or with a status that the protocol does not define.

Cause: such a batch counted as failed, and progress sends the next one at once, with the same writes. Only refusals (503, 429, 400) had a pause.

A conflict that names a job's row, and a batch without an answer, go on as before.

The parts of a controller around one module of the leader are a header of the tests.

--- a/src/net/leader_batches.c
+++ b/src/net/leader_batches.c
@@ -157,6 +157,14 @@
 
 /* ---- answers to a batch ---- */
 
+/* Delays the next batch after an answer from which it cannot be told what the next batch should do differently: it
+ * would probably get the same answer at once. */
+static void
+pause_batches (FtLeaderBatches *batches)
+{
+  batches->not_before = ft_leader_first_retry_at (batches->term);
+}
+
 /* Handles the refusal of a batch because one of its conditions did not hold. */
 static FtLeaderOutcome
 on_batch_conflict (BatchRequest *batch, const json_t *body)
@@ -172,6 +180,7 @@
     read_conflicted_job (batch->base.owner, ref);
     break;
   case FT_BATCH_CONFLICT_UNKNOWN:
+    pause_batches (batch->base.owner);
     break;
   }
   finish_batch (batch, FALSE, ref);
@@ -209,11 +218,22 @@
   FtLeaderBatches *batches = batch->base.owner;
   if (too_large)
     shrink_batches (batches);
-  batches->not_before = ft_leader_first_retry_at (batches->term);
+  pause_batches (batches);
   finish_batch (batch, FALSE, NULL);
   return FT_LEADER_OUTCOME_PROGRESS;
 }
 
+/* Handles an answer that neither confirms nor refuses the batch, or the lack of one. */
+static FtLeaderOutcome
+on_batch_uncertain (BatchRequest *batch, FtStoreResult result)
+{
+  FtLeaderBatches *batches = batch->base.owner;
+  ft_metrics_count (batches->term->node->metrics, FT_COUNT_BATCHES_UNCERTAIN);
+  if (result == FT_STORE_FAILED)
+    pause_batches (batches);
+  return resolve_by_journal (batch);
+}
+
 static FtLeaderOutcome
 on_batch_committed (BatchRequest *batch, guint64 revision)
 {
@@ -231,7 +251,8 @@
 {
   BatchRequest *batch = (BatchRequest *) request;
   guint64 revision;
-  switch (ft_store_read_revision (result, body, &revision)) {
+  FtStoreResult read = ft_store_read_revision (result, body, &revision);
+  switch (read) {
   case FT_STORE_OK:
     return on_batch_committed (batch, revision);
   case FT_STORE_CONFLICT:
@@ -248,8 +269,7 @@
   case FT_STORE_FAILED:
   case FT_STORE_MALFORMED:
   default:
-    ft_metrics_count (request->term->node->metrics, FT_COUNT_BATCHES_UNCERTAIN);
-    return resolve_by_journal (batch);
+    return on_batch_uncertain (batch, read);
   }
 }
 
--- a/tests/store_stand_in.hpp
+++ b/tests/store_stand_in.hpp
@@ -26,9 +26,10 @@
   Answer answer = Answer::kEmpty;
   std::vector<std::string> changed_keys; // named by the answer kConflict
   bool watches_are_compacted = false;    // whether watches are answered with 410, whatever `answer` is
+  json_t *journal = nullptr;             // the answer to reads of the journal row, whatever `answer` is, if it is set
   std::vector<FtHttpRequest *> unanswered;
   guint requests = 0;
-  guint lists = 0; // requests for lists among them
+  guint lists = 0, commits = 0; // requests for lists, and transactions, among them
   FtConfig config{};
   FtStoreClient *client = nullptr;
 
@@ -95,6 +96,9 @@
     const char *path = ft_http_path (request);
     self->requests++;
     self->lists += g_str_equal (path, "/store");
+    self->commits += g_str_equal (path, "/commit");
+    if (self->journal != nullptr && g_str_equal (path, "/store/l/journal"))
+      return ft_http_respond (request, 200, json_incref (self->journal));
     if (self->watches_are_compacted && g_str_equal (path, "/follow"))
       return ft_http_respond (request, 410, nullptr);
     switch (self->answer) {
