An empty page of the cloud's list that names more is malformed

Found by going through what repeats a request at once. Operators would see, with a cloud that answers so: the list read as fast as the cloud answers, past the budget, so that no machine is launched or returned; and if it is the first page, a complete list without any machine. Seen in tests, not in a run.

Cause: the next page is asked for behind the last machine read so far, and that was the same request again; the first page was not asked for again, but counted as the end of the list.

Change: such a page is refused as malformed, logged and counted, and the list is read again at its usual time.

Tests, red before: LeaderCloud.EmptyPageThatNamesMoreEndsTheReadOfTheList (244 requests in half a second instead of 2), LeaderCloud.EmptyFirstPageThatNamesMoreIsMalformed.

--- a/src/net/leader_cloud.c
+++ b/src/net/leader_cloud.c
@@ -106,15 +106,18 @@
 {
   GArray *machines = ((ListRequest *) request)->machines;
   FtLeaderCloud *cloud = request->owner;
+  guint already_read = machines->len;
   gboolean more = FALSE;
   cloud->list_in_flight = FALSE;
   if (status != FT_HTTP_OK)
     return FT_LEADER_OUTCOME_DONE;
-  if (!ft_cloud_list (body, machines, &more)) {
+  gboolean readable = ft_cloud_list (body, machines, &more);
+  /* The page after an empty page would be the same page again. */
+  if (!readable || (more && machines->len == already_read)) {
     ft_malformed_log_add (cloud->term->node->malformed, FT_COUNT_MALFORMED_CLOUD, "list of machines");
     return FT_LEADER_OUTCOME_DONE;
   }
-  if (more && machines->len > 0) {
+  if (more) {
     read_list (cloud, g_array_ref (machines));
     return FT_LEADER_OUTCOME_DONE;
   }
