--- a/src/net/http.h
+++ b/src/net/http.h
@@ -213,10 +213,11 @@
  * Called from the main loop, once for each request unless the client is freed first.
  *
  * The contract of this and of every other completion callback in src/net: it is called once, and never before the
- * function that starts the operation has returned, whatever the result and however early it is known. The caller
- * may therefore go on using what the callback frees, and a callback never runs inside another one. A function that
- * knows the result at once either returns it and says that the callback is not called, or leaves the call to the
- * main loop (see completion_queue.h). When the module that would call it is freed, the callback is not called.
+ * function that starts the operation has returned, whatever the result and however early it is known. Nor does
+ * that function call the callbacks of earlier operations. The caller may therefore go on using what a callback
+ * frees. A function that knows the result at once either returns it and says that the callback is not called, or
+ * leaves the call to the main loop (see completion_queue.h). When the module that would call it is freed, the
+ * callback is not called.
  */
 typedef void (*FtHttpDone) (guint status, const json_t *body, gpointer data);
 
--- a/src/net/store_client.c
+++ b/src/net/store_client.c
@@ -28,7 +28,7 @@
   gpointer data;
 } Request;
 
-/* A request that was refused because its queue was full. */
+/* A request that was refused without being sent. */
 typedef struct {
   FtStoreDone done;
   gpointer data;
