Tests wait, answer open requests and count polls in one place

Found on a second reading of the change: the wait for a second call of a callback stood three times, the answers to requests that a stand-in has left open twice, the callback of polls twice, and one comment and one callback of test_polls.cpp said nothing that holds. No assertion changes, and nothing outside the tests.

--- a/tests/completion_call.hpp
+++ b/tests/completion_call.hpp
@@ -10,10 +10,6 @@
 
 #include "loopback/http.hpp"
 
-extern "C" {
-#include "core/constants.h"
-}
-
 template <typename Result> struct CompletionCall {
   std::string name;              // of the operation, or of the case
   bool returned = false;         // whether the function that starts the operation has returned
@@ -46,14 +42,6 @@
   return call;
 }
 
-// Runs the main loop for as long as a second call of a callback could take.
-inline void
-wait_for_second_calls ()
-{
-  gint64 end = g_get_monotonic_time () + 50 * FT_MILLISECOND;
-  loopback::wait_for ([&] { return g_get_monotonic_time () > end; });
-}
-
 // Waits until the callbacks of all calls from `first` on were called, and checks that each was called once, with that
 // result, after the function that starts the operation had returned.
 template <typename Result>
@@ -63,7 +51,7 @@
   EXPECT_TRUE (loopback::wait_for ([&] {
     return std::all_of (calls.begin () + (long) first, calls.end (), [] (const auto &call) { return call.calls > 0; });
   }));
-  wait_for_second_calls ();
+  loopback::run_main_loop_for (loopback::kSecondCallS);
   for (size_t i = first; i < calls.size (); i++) {
     EXPECT_EQ (calls[i].calls, 1u) << calls[i].name;
     EXPECT_EQ (calls[i].calls_before_return, 0u) << calls[i].name;
@@ -75,7 +63,7 @@
 void
 expect_never_called (const CompletionCalls<Result> &calls)
 {
-  wait_for_second_calls ();
+  loopback::run_main_loop_for (loopback::kSecondCallS);
   for (const auto &call : calls)
     EXPECT_EQ (call.calls, 0u) << call.name;
 }
--- a/tests/leader_module.hpp
+++ b/tests/leader_module.hpp
@@ -44,9 +44,7 @@
   void
   TearDown () override
   {
-    for (FtHttpRequest *request : stand_in.unanswered)
-      ft_http_unavailable (request);
-    stand_in.unanswered.clear ();
+    stand_in.answer_open_requests ();
     term.number++;
     g_clear_pointer (&term.scheduler, ft_scheduler_free);
     wait_for ([&] { return ft_store_client_in_flight (node.store) == 0; });
@@ -57,13 +55,6 @@
     ft_metrics_free (node.metrics);
     g_rand_free (node.random);
   }
-  // Runs the main loop for that many seconds.
-  static void
-  run_for (double seconds)
-  {
-    gint64 end = g_get_monotonic_time () + ft_seconds (seconds);
-    wait_for ([&] { return g_get_monotonic_time () > end; });
-  }
 };
 
 } // namespace loopback
--- a/tests/loopback/http.hpp
+++ b/tests/loopback/http.hpp
@@ -62,6 +62,17 @@
   return true;
 }
 
+// Runs the main loop for that time.
+inline void
+run_main_loop_for (double seconds)
+{
+  gint64 end = g_get_monotonic_time () + (gint64) (seconds * G_USEC_PER_SEC);
+  wait_for ([&] { return g_get_monotonic_time () > end; });
+}
+
+// How long a second call of a callback, or a second answer to a request, may take to arrive.
+constexpr double kSecondCallS = 0.05;
+
 // The answer to a request; status 0 means that no answer came.
 struct Reply {
   bool done = false;
--- a/tests/store_stand_in.hpp
+++ b/tests/store_stand_in.hpp
@@ -35,8 +35,7 @@
 
   ~StoreStandIn ()
   {
-    for (FtHttpRequest *request : unanswered)
-      ft_http_unavailable (request);
+    answer_open_requests ();
     wait_for ([&] { return client == nullptr || ft_store_client_in_flight (client) == 0; });
     free_client ();
     stop ();
@@ -59,6 +58,14 @@
     ft_store_client_free (client);
     client = nullptr;
   }
+  // Answers the requests that the answer kNone has left open.
+  void
+  answer_open_requests ()
+  {
+    for (FtHttpRequest *request : unanswered)
+      ft_http_unavailable (request);
+    unanswered.clear ();
+  }
   // Closes all connections, and lets nothing listen on the address any more.
   void
   stop ()
--- a/tests/test_leader_batches.cpp
+++ b/tests/test_leader_batches.cpp
@@ -57,7 +57,7 @@
     machine_reports ();
     for (int i = 0; i < 100; i++) {
       commit ();
-      run_for (kRunS / 100);
+      run_main_loop_for (kRunS / 100);
     }
   }
 };
--- a/tests/test_leader_cloud.cpp
+++ b/tests/test_leader_cloud.cpp
@@ -55,7 +55,7 @@
   {
     ft_leader_cloud_begin (cloud, g_get_monotonic_time ());
     ft_leader_cloud_tick (cloud, g_get_monotonic_time ());
-    run_for (0.5);
+    run_main_loop_for (0.5);
   }
 };
 
--- a/tests/test_leader_watch.cpp
+++ b/tests/test_leader_watch.cpp
@@ -35,7 +35,7 @@
   {
     for (int i = 0; i < ticks && !condition (); i++) {
       ft_leader_watch_tick (watch, g_get_monotonic_time ());
-      run_for (0.01);
+      run_main_loop_for (0.01);
     }
   }
 };
--- a/tests/test_polls.cpp
+++ b/tests/test_polls.cpp
@@ -66,13 +66,17 @@
     g_strfreev (job->dependencies);
     job->dependencies = g_strdupv ((GStrv) dependencies);
   }
+  static void
+  on_polled (FtPollResult result, gpointer data)
+  {
+    ((PollCall *) data)->complete (result);
+  }
   PollCall &
   poll (std::function<void ()> on_call = nullptr)
   {
     PollCall &call = add_call (polls, "poll");
     call.on_call = on_call;
-    auto on_done = [] (FtPollResult result, gpointer data) { ((PollCall *) data)->complete (result); };
-    EXPECT_TRUE (ft_polls_add (node.polls, "req-1", on_done, &call));
+    EXPECT_TRUE (ft_polls_add (node.polls, "req-1", on_polled, &call));
     call.returned = true;
     return call;
   }
@@ -173,12 +177,11 @@
 TEST_F (Polls, PollBeyondTheLimitIsNotAdded)
 {
   make_client (StoreStandIn::kOneRequest);
-  poll (); // waits for the budget, in a transaction of its own, or is sent
+  poll (); // is sent, and the others wait for its answer
   while (ft_polls_waiting (node.polls) < FT_POLLS_MAX)
     poll ();
   PollCall call;
-  auto on_done = [] (FtPollResult result, gpointer data) { ((PollCall *) data)->complete (result); };
-  EXPECT_FALSE (ft_polls_add (node.polls, "req-1", on_done, &call));
+  EXPECT_FALSE (ft_polls_add (node.polls, "req-1", on_polled, &call));
   EXPECT_EQ (call.calls, 0u);
 }
 
@@ -225,7 +228,7 @@
 {
   stand_in.answer = StoreStandIn::Answer::kConflict;
   PollCall &failed = poll ();
-  PollCall &later = poll ([&] { stand_in.answer = StoreStandIn::Answer::kEmpty; });
+  PollCall &later = poll ();
   failed.on_call = [&] { stand_in.answer = StoreStandIn::Answer::kEmpty; };
   ASSERT_TRUE (wait_for ([&] { return failed.calls == 1 && later.calls == 1; }));
   EXPECT_EQ (failed.result, FT_POLL_FAILED);
@@ -246,7 +249,7 @@
   ft_job_cache_add_ended (node.job_cache, "req-22", FT_JOB_END_CANCELLED, 1);
   EXPECT_FALSE (ft_ancestors_check_named (&node, ended, &result, on_checked, &call));
   EXPECT_EQ (result, FT_ANCESTORS_CANCELLED) << "a dependency is cancelled";
-  wait_for_second_calls ();
+  run_main_loop_for (kSecondCallS);
   EXPECT_EQ (call.calls, 0u);
   EXPECT_EQ (stand_in.requests, 0u);
 }
--- a/tests/test_user_request.cpp
+++ b/tests/test_user_request.cpp
@@ -83,14 +83,6 @@
 
 namespace {
 
-// Runs the main loop for 50 ms. A second answer to a request, if there is one, arrives in this time.
-void
-wait_for_second_answers ()
-{
-  gint64 end = g_get_monotonic_time () + 50000;
-  wait_for ([&] { return g_get_monotonic_time () > end; });
-}
-
 class UserRequest : public ::testing::Test {
 protected:
   ScriptedServices services;
@@ -130,7 +122,7 @@
   void
   TearDown () override
   {
-    wait_for_second_answers ();
+    run_main_loop_for (kSecondCallS);
     EXPECT_GT (sent_count, 0u);
     EXPECT_EQ (arrivals.size (), sent_count) << "the controller got another number of requests than the test has sent";
     for (const Arrival &arrival : arrivals)
@@ -187,7 +179,7 @@
   {
     services.scripts = scripts;
     auto reply = call (method, front, path, body);
-    wait_for_second_answers ();
+    run_main_loop_for (kSecondCallS);
     sent_count++;
     EXPECT_EQ (arrivals.size (), sent_count) << method << " " << path;
     EXPECT_EQ (arrivals.back ().answers, 1u) << method << " " << path;
