--- a/review/src-2/world.hpp
+++ b/review/src-2/world.hpp
@@ -723,6 +723,9 @@
   std::function<void (const json_t *)> on_answered_orders;
   double recall_at = 0;
   guint64 token = 0, tally = 0, shift = 1;
+  // The controller from which this worker is cut off, -1: none. Its commands are known by their token.
+  int lost_node = -1;
+  guint64 lost_token = 0;
 
   Worker (const Site &site, Rules &rules, std::vector<std::string> nodes, std::string name_, std::string zone_,
           bool spot_)
@@ -953,7 +956,8 @@
   void
   receive (FtHttpRequest *request)
   {
-    if (hung || cut || dead) {
+    bool from_lost = lost_node >= 0 && (guint64) whole (ft_http_body (request), "baton") == lost_token;
+    if (hung || cut || dead || from_lost) {
       if (!dead)
         held_.push_back ([this, request] { receive (request); });
       return;
@@ -1033,6 +1037,10 @@
     changed_ = false;
     last_sent_ = sent;
     due_ = sent + site_.report_s * g_random_double_range (0.75, 1.25);
+    if ((int) node_ == lost_node) { // no answer within 4 s
+      after (4, [this, number, sent, sent_shift] { on_report_answer (number, sent, sent_shift, { 0, nullptr }); });
+      return;
+    }
     send ("POST", nodes_[node_], "/checkin", report (), 4,
           [this, number, sent, sent_shift] (Reply reply) { on_report_answer (number, sent, sent_shift, reply); });
   }
@@ -1064,6 +1072,7 @@
   std::map<std::string, std::shared_ptr<Worker>> machines;
   std::map<std::string, int> capacity; // zone + ("/spot" or "") -> machines
   bool down = false;
+  std::function<void (int, const std::string &)> on_return; // before a controller returns a machine
   Cloud (const Site &site, Rules &rules) : site_ (site), rules_ (rules)
   {
     for (int i = 0; i < site.size; i++)
@@ -1160,7 +1169,6 @@
   handle (int i, FtHttpRequest *request)
   {
     std::string path = ft_http_path (request), method = ft_http_method (request);
-    (void) i;
     if (down) {
       respond (request, 503, json_pack ("{s:s}", "error", "trouble"));
     } else if (path == "/catalog") {
@@ -1181,7 +1189,9 @@
       json_array_foreach (json_object_get (ft_http_body (request), "hearths"), k, item)
       {
         std::string name = json_string_value (item);
-        record ("cloud: %s is returned", name.c_str ());
+        record ("cloud: %s is returned by controller %d", name.c_str (), i);
+        if (on_return)
+          on_return (i, name);
         take (name);
       }
       respond (request, 200, json_object ());
