--- a/review/src-2/stale_leader.cpp
+++ b/review/src-2/stale_leader.cpp
@@ -19,6 +19,10 @@
     machines = 0;
   for (int i = 0; i < 6; i++)
     world.cloud.add ("a", false, 0);
+  world.store.on_commit = [] (int by, const json_t *txn) {
+    if (text (json_array_get (json_object_get (txn, "apply"), 0), "write") == "l/fence")
+      record ("state service: controller %d takes the lease", by);
+  };
   world.controllers.start_all ();
   int leader = world.controllers.wait_for_leader (20);
   if (leader < 0)
