A direct start is forgotten only after its worker has shown a higher token

Cause: a worker executes a copy of a message to /commands, however old, while fencing token and incarnation match. While it knows the attempt, the copy does nothing; after `clear` it starts the task anew. The leader cleared a directly started attempt two worker leases after its exit, a bound of our own (FT_LATE_COPY_LEASES). A copy 70 s late met a worker that had forgotten the attempt and still had the leader's token.

Fix: the bound is gone. Each leadership has a range of worker tokens, whose last one is its fencing token. A machine's token is renewed when its worker remembers 32 directly started attempts, or one for 30 s; an attempt is cleared once a status has shown a higher token than that of its direct start, so that the worker refuses all copies. An attempt of a former leadership may be cleared at once, since a worker that shows a token of ours refuses all of theirs. When 128 attempts of a machine could still be copied, further starts are sent in answers to heartbeats, which are never late.

Why this works: a copy is harmless while its attempt is remembered, once its incarnation is over, or once the worker has seen a higher token. Nothing is cleared in any other state.

Stand-ins copy direct commands at any age up to four minutes, and a machine fetches an image once, so that a copy starts at once.

--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -1,5 +1,6 @@
 #include "core/attempt.h"
 
+#include "core/constants.h"
 #include "core/job.h"
 
 const char *
@@ -85,9 +86,10 @@
 }
 
 void
-ft_attempt_direct_start_sent (FtAttempt *attempt)
+ft_attempt_direct_start_sent (FtAttempt *attempt, guint64 token)
 {
   attempt->direct_start = FT_DIRECT_START_IN_FLIGHT;
+  attempt->direct_token = MAX (attempt->direct_token, token);
 }
 
 void
@@ -98,7 +100,14 @@
 }
 
 void
-ft_attempt_direct_start_unknown (FtAttempt *attempt)
+ft_attempt_direct_start_unknown (FtAttempt *attempt, guint64 token)
 {
   attempt->direct_start = FT_DIRECT_START_ANSWERED;
+  attempt->direct_token = token;
+}
+
+guint64
+ft_attempt_number_token (guint64 id)
+{
+  return id >> FT_ATTEMPT_BITS;
 }
--- a/src/core/attempt.h
+++ b/src/core/attempt.h
@@ -37,12 +37,12 @@
 } FtAttemptStop;
 
 /* The progress of the direct requests that carried the attempt's start command. A direct request goes from the leader
- * to the worker, unlike commands in the answer to a heartbeat. A worker may execute a delayed copy of such a
- * request. */
+ * to the worker, unlike commands in the answer to a heartbeat. A worker may execute a copy of such a request at any
+ * later time, until its incarnation is over or it has seen a higher token than FtAttempt.direct_token. */
 typedef enum {
   FT_DIRECT_START_NONE,       /* no direct request carried the start */
   FT_DIRECT_START_IN_FLIGHT,  /* a direct request with the start is in flight */
-  FT_DIRECT_START_ANSWERED,   /* all direct requests with the start were answered */
+  FT_DIRECT_START_ANSWERED,   /* all direct requests with the start were answered; copies may still arrive */
   FT_DIRECT_START_UNANSWERED, /* a direct request with the start got no answer: the worker may execute it as long as its
                                  incarnation lasts; final */
 } FtDirectStart;
@@ -70,6 +70,8 @@
   double grace_s;             /* seconds that the worker gives the attempt to stop; set together with `stop` */
   guint64 sent_sequence;      /* sequence of the heartbeat whose answer carried the start command; 0: none */
   FtDirectStart direct_start; /* changed by the ft_attempt_direct_start_*() functions only */
+  guint64 direct_token;       /* the highest worker token that a direct request with the start has carried, as far as
+                                 such a request may still be executed under this leadership; 0: there is none */
 
   gint64 placed_at;   /* when the attempt was created, in microseconds */
   gint64 running_at;  /* when the task was first seen running, in microseconds; 0: not yet */
@@ -111,12 +113,16 @@
 /* Cancels the request to stop the attempt. */
 void ft_attempt_clear_stop (FtAttempt *attempt);
 
-/* Records that a direct request with the attempt's start is being sent. */
-void ft_attempt_direct_start_sent (FtAttempt *attempt);
+/* Records that a direct request with the attempt's start is being sent under that worker token. */
+void ft_attempt_direct_start_sent (FtAttempt *attempt, guint64 token);
 
-/* Records the answer to the direct request with the attempt's start: no copy of it will be executed later. */
+/* Records the answer to the direct request with the attempt's start: the worker has executed or refused it. */
 void ft_attempt_direct_start_answered (FtAttempt *attempt);
 
-/* Records that an earlier leadership started the attempt: it may have sent direct requests that this process does not
- * know, so that copies of them may still arrive. */
-void ft_attempt_direct_start_unknown (FtAttempt *attempt);
+/* Records that this leader does not know which direct requests have carried the start of an attempt that a status has
+ * shown. `token`: the highest worker token of this leadership that they may have carried; 0: an earlier leadership has
+ * sent them, so that the worker refuses all copies of them. */
+void ft_attempt_direct_start_unknown (FtAttempt *attempt, guint64 token);
+
+/* Returns the fencing token of the leadership that has created the attempt with that number. */
+guint64 ft_attempt_number_token (guint64 id);
--- a/src/core/attempt_reports.c
+++ b/src/core/attempt_reports.c
@@ -146,7 +146,9 @@
   FtAttempt *attempt = ft_attempt_new (machine, job, status->job, status->index, status->attempt);
   attempt->listed = TRUE;
   attempt->placed_at = machine->context->now;
-  ft_attempt_direct_start_unknown (attempt);
+  /* A former leader's direct requests carried tokens below ours, and the status shows one of ours. */
+  gboolean is_ours = ft_attempt_number_token (status->attempt) >= machine->context->token;
+  ft_attempt_direct_start_unknown (attempt, is_ours ? machine->worker_token.current : 0);
   if (status->state == FT_TASK_PHASE_EXITED)
     adopt_exited (attempt, task_unbound, status->exit_reason);
   else
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -118,10 +118,17 @@
 /* Seconds for which a machine must count as not receiving before it may be terminated: until then it is probed,
  * because the fault may be short. */
 #define FT_NOT_RECEIVING_SCALE_IN_S 10.0
-/* Time, in worker leases, for which a worker must remember an attempt after the exit of the attempt, if a direct
- * command carried its start: a copy of the command may arrive late, and a worker that remembers the attempt ignores
- * the copy. */
-#define FT_LATE_COPY_LEASES 2.0
+/* Worker tokens of one leadership. Versions that read the fence row accept fencing tokens up to G_MAXINT32 only, and
+ * each leadership raises the fencing token by this number. */
+#define FT_WORKER_TOKENS 16384
+/* Directly started attempts that a worker remembers after their exit before its worker token is renewed. */
+#define FT_REMEMBERED_STARTS_RENEW 32
+/* Seconds since the exit of a directly started attempt after which the worker token is renewed, however few attempts
+ * the worker remembers. */
+#define FT_REMEMBERED_START_S 30.0
+/* Attempts on one machine, running or remembered, whose direct starts may still be copied, beyond which further starts
+ * are sent in answers to heartbeats only: bounds the size of a heartbeat. */
+#define FT_DIRECT_STARTS_MAX 128
 /* Seconds between two ticks above which this controller counts as late itself: heartbeats missing in that time
  * count against no machine. */
 #define FT_LATE_TICK_S 1.5
@@ -181,6 +188,8 @@
 /* Bits of an attempt number below the fencing token. The token is in the upper bits, so attempt numbers increase
  * from one leader to the next. */
 #define FT_ATTEMPT_BITS 24
+/* Highest fencing token that is accepted: attempt numbers with the token in their upper bits stay below 2^63. */
+#define FT_FENCING_TOKEN_MAX (G_MAXINT64 >> FT_ATTEMPT_BITS)
 
 /* ---- placement ---- */
 /* Default number of machines with room that are compared for a task before the best is taken: limits the cost of a
--- a/src/core/context.h
+++ b/src/core/context.h
@@ -10,7 +10,8 @@
 typedef struct {
   const FtSettings *settings;  /* borrowed */
   FtCatalog *catalog;          /* the cloud's machine types */
-  guint64 token;               /* this leader's fencing token */
+  guint64 token;               /* this leader's fencing token, which is also the last of its worker tokens */
+  guint64 first_worker_token;  /* the first of this leader's worker tokens, see worker_token.h */
   gint64 now;                  /* time of the event that is being handled */
   gint64 term_began_at;        /* when this leadership began */
   gint64 loaded_at;            /* when the leader finished reading the store's rows after the failover */
--- a/src/core/direct_command.h
+++ b/src/core/direct_command.h
@@ -6,6 +6,7 @@
 
 typedef struct {
   char *machine, *addr;
+  guint64 token;       /* the worker refuses the request if it has seen a higher token */
   guint64 incarnation; /* the worker refuses the request if its own incarnation differs */
   GArray *commands;    /* FtCommand, owned; empty: the request is a probe */
 } FtDirectRequest;
--- a/src/core/direct_commands.c
+++ b/src/core/direct_commands.c
@@ -19,11 +19,26 @@
          && attempt->direct_start != FT_DIRECT_START_UNANSWERED;
 }
 
+/* Returns how many starts may be sent directly to the machine. The worker must remember each such attempt until it has
+ * seen a higher token, and lists it in its heartbeats. */
+static guint
+count_direct_starts_allowed (const FtMachine *machine)
+{
+  guint count = 0;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, machine->attempts);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    count += ft_worker_command_start_may_be_copied (value);
+  return count < FT_DIRECT_STARTS_MAX ? FT_DIRECT_STARTS_MAX - count : 0;
+}
+
 static FtDirectRequest *
 request_to (FtMachine *machine)
 {
   if (!may_send (machine))
     return NULL;
+  guint starts_allowed = count_direct_starts_allowed (machine);
   g_autoptr (GArray) commands = ft_commands_new ();
   GHashTableIter it;
   gpointer value;
@@ -33,8 +48,9 @@
     if (attempt->stop == FT_ATTEMPT_STOP_REQUESTED && attempt->state == FT_ATTEMPT_ON_WORKER) {
       attempt->stop = FT_ATTEMPT_STOP_SENT;
       ft_worker_command_add (commands, FT_COMMAND_STOP, attempt);
-    } else if (may_start_directly (attempt)) {
-      ft_attempt_direct_start_sent (attempt);
+    } else if (starts_allowed > 0 && may_start_directly (attempt)) {
+      starts_allowed--;
+      ft_attempt_direct_start_sent (attempt, machine->worker_token.current);
       ft_worker_command_add (commands, FT_COMMAND_START, attempt);
     }
   }
--- a/src/core/heartbeat_answer.h
+++ b/src/core/heartbeat_answer.h
@@ -9,3 +9,7 @@
 /* Returns the commands for the answer to the heartbeat: a new array of FtCommand. It is empty if the heartbeat is not
  * the newest of its machine. Room on the machine that the heartbeat has shown to be free is filled first. */
 GArray *ft_heartbeat_answer (FtMachineTable *table, FtPlacement *placement, const FtWorkerHeartbeat *heartbeat);
+
+/* Returns the worker token that the answer to the heartbeat carries. Called after ft_heartbeat_answer(), which may
+ * renew the token of the machine. */
+guint64 ft_heartbeat_answer_token (const FtMachineTable *table, const FtWorkerHeartbeat *heartbeat);
--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -26,6 +26,7 @@
   FtLeaseSuspicion suspicion; /* suspicion that the present holder is gone */
 
   guint64 token;                    /* this controller's fencing token while acquiring or holding; else 0 */
+  FtWorkerTokenRange worker_tokens; /* the tokens of this controller's last claim */
   guint64 fence_revision;           /* revision of the fence row that this controller acquired; else 0 */
   gint64 valid_until;               /* the holder may start tasks before this time */
   gint64 last_contact;              /* when the last claim or renewal that succeeded was sent */
@@ -249,7 +250,8 @@
 FtLeaseClaim
 ft_lease_claim (FtLease *lease, gint64 now)
 {
-  FtLeaseClaim claim = { .token = lease->last_rows.token + 1,
+  lease->worker_tokens = ft_worker_token_range_after (lease->last_rows.token);
+  FtLeaseClaim claim = { .token = lease->worker_tokens.last,
                          .fence_revision = lease->last_rows.fence_revision,
                          .renewal_revision = lease->last_rows.renewal_revision,
                          .check_renewal = !holder_is_self (lease) };
@@ -402,6 +404,12 @@
   return lease->token;
 }
 
+FtWorkerTokenRange
+ft_lease_worker_tokens (const FtLease *lease)
+{
+  return lease->worker_tokens;
+}
+
 guint64
 ft_lease_fence_revision (const FtLease *lease)
 {
--- a/src/core/lease.h
+++ b/src/core/lease.h
@@ -12,7 +12,7 @@
  * times are microseconds of this process's steady clock. The clocks of different processes are assumed to differ in
  * rate by FT_CLOCK_DRIFT at most. */
 #pragma once
-#include <glib.h>
+#include "core/worker_token.h"
 
 typedef enum {
   FT_LEASE_FOLLOWING, /* this controller does not hold the lease; another controller may hold it */
@@ -135,6 +135,9 @@
 
 /* Returns this controller's fencing token while it acquires or holds the lease, otherwise 0. */
 guint64 ft_lease_token (const FtLease *lease);
+/* Returns the worker tokens of this controller's leadership, the last of which is its fencing token. Valid while it
+ * acquires or holds the lease. */
+FtWorkerTokenRange ft_lease_worker_tokens (const FtLease *lease);
 /* Returns the revision of the fence row that this controller acquired; 0 if it does not hold the lease. The writes of
  * the leader are conditional on it. */
 guint64 ft_lease_fence_revision (const FtLease *lease);
--- a/src/core/machine.c
+++ b/src/core/machine.c
@@ -42,6 +42,7 @@
   machine->spot = spot;
   machine->type = ft_catalog_find (context->catalog, type);
   machine->launched_at = machine->idle_since = context->now;
+  machine->worker_token.current = context->first_worker_token;
   machine->attempts = g_hash_table_new_full (ft_attempt_hash, ft_attempt_equal, NULL, (GDestroyNotify) ft_attempt_free);
   machine->images = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return machine;
--- a/src/core/machine.h
+++ b/src/core/machine.h
@@ -17,6 +17,7 @@
 #include "core/context.h"
 #include "core/reachability.h"
 #include "core/types.h"
+#include "core/worker_token.h"
 
 typedef struct _FtZone FtZone;
 typedef struct _FtRegistryRow FtRegistryRow;
@@ -101,6 +102,7 @@
   guint64 incarnation, sequence; /* those of the machine's newest status */
   guint64 expired_incarnation;   /* incarnations up to this one have ended or expired and get no commands */
   FtReachability reachability;
+  FtWorkerToken worker_token;    /* the tokens of the commands to its worker */
   gint64 launched_at;            /* when the machine was launched, as far as it is known; in microseconds */
   gint64 idle_since;             /* when the machine became idle, in microseconds; valid while it is idle */
   gint64 notice_until;           /* end of the interruption notice's period, in microseconds; 0: no notice */
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -41,13 +41,14 @@
 }
 
 FtScheduler *
-ft_scheduler_new (const FtSettings *settings, FtCatalog *catalog, guint64 token, gint64 answer_grace_us, gint64 now,
-                  guint32 seed)
+ft_scheduler_new (const FtSettings *settings, FtCatalog *catalog, FtWorkerTokenRange tokens, gint64 answer_grace_us,
+                  gint64 now, guint32 seed)
 {
   FtScheduler *scheduler = g_new0 (FtScheduler, 1);
   scheduler->context.settings = settings;
   scheduler->context.catalog = ft_catalog_ref (catalog);
-  scheduler->context.token = token;
+  scheduler->context.token = tokens.last;
+  scheduler->context.first_worker_token = tokens.first;
   scheduler->context.answer_grace_us = answer_grace_us;
   scheduler->context.now = scheduler->context.term_began_at = scheduler->context.cancellations_known_until = now;
   scheduler->context.random = g_rand_new_with_seed (seed);
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -12,15 +12,16 @@
 #include "core/direct_command.h"
 #include "core/tuning.h"
 #include "core/types.h"
+#include "core/worker_token.h"
 #include "core/write.h"
 
 typedef struct _FtScheduler FtScheduler;
 
 /* Returns a new scheduler; free it with ft_scheduler_free(). `settings` is borrowed and must outlive it. It keeps a
- * reference of its own to `catalog`. `token` is the fencing token of this leadership. `answer_grace_us`: see
- * ft_lease_new(). `seed` seeds all random choices. */
-FtScheduler *ft_scheduler_new (const FtSettings *settings, FtCatalog *catalog, guint64 token, gint64 answer_grace_us,
-                               gint64 now, guint32 seed);
+ * reference of its own to `catalog`. `tokens` are the worker tokens of this leadership, the last of which is its
+ * fencing token. `answer_grace_us`: see ft_lease_new(). `seed` seeds all random choices. */
+FtScheduler *ft_scheduler_new (const FtSettings *settings, FtCatalog *catalog, FtWorkerTokenRange tokens,
+                               gint64 answer_grace_us, gint64 now, guint32 seed);
 /* Frees the scheduler with everything that is not written; NULL is ignored. */
 void ft_scheduler_free (FtScheduler *scheduler);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (FtScheduler, ft_scheduler_free)
@@ -72,8 +73,9 @@
  * function, ft_scheduler_place() or ft_scheduler_tick(). */
 void ft_scheduler_set_may_start (FtScheduler *scheduler, gboolean may_start);
 /* Returns the commands (FtCommand) for the answer to this heartbeat; the caller frees the array. The commands contain
- * starts only if ft_scheduler_set_may_start() allows them. */
-GArray *ft_scheduler_answer (FtScheduler *scheduler, const FtWorkerHeartbeat *heartbeat, gint64 now);
+ * starts only if ft_scheduler_set_may_start() allows them. `token` (out, may be NULL) is the worker token that the
+ * answer carries. */
+GArray *ft_scheduler_answer (FtScheduler *scheduler, const FtWorkerHeartbeat *heartbeat, gint64 now, guint64 *token);
 
 /* Returns the next command or probe to send to a worker, which the caller frees; NULL: there is none. */
 FtDirectRequest *ft_scheduler_next_direct_request (FtScheduler *scheduler, gint64 now);
--- a/src/core/scheduler_workers.c
+++ b/src/core/scheduler_workers.c
@@ -39,10 +39,13 @@
 }
 
 GArray *
-ft_scheduler_answer (FtScheduler *scheduler, const FtWorkerHeartbeat *heartbeat, gint64 now)
+ft_scheduler_answer (FtScheduler *scheduler, const FtWorkerHeartbeat *heartbeat, gint64 now, guint64 *token)
 {
   scheduler->context.now = now;
-  return ft_heartbeat_answer (&scheduler->machine_table, &scheduler->placement, heartbeat);
+  GArray *commands = ft_heartbeat_answer (&scheduler->machine_table, &scheduler->placement, heartbeat);
+  if (token != NULL)
+    *token = ft_heartbeat_answer_token (&scheduler->machine_table, heartbeat);
+  return commands;
 }
 
 FtDirectRequest *
--- a/src/core/start_in_doubt.h
+++ b/src/core/start_in_doubt.h
@@ -3,8 +3,8 @@
  * A direct start that got no answer may be executed late, as long as the machine's incarnation lasts. If its attempt is
  * cancelled before a status shows it, no stop can be sent, since the worker would ignore it. The machine then gets no
  * new work, and is terminated before the cancelled task could run past its time. The doubt ends when a status shows the
- * attempt: its worker remembers it from then on and ignores further copies of the start, see
- * ft_worker_command_may_forget(). It also ends with the incarnation, or with a new leader's fencing token.
+ * attempt: its worker remembers it from then on and ignores copies of the start for as long as it would execute them,
+ * see ft_worker_command_may_forget(). It also ends with the incarnation, or with a new leader's fencing token.
  *
  * The eviction (machine_eviction.h) calls this module for each machine on each tick. */
 #pragma once
--- a/src/core/worker_commands.c
+++ b/src/core/worker_commands.c
@@ -12,18 +12,19 @@
          && attempt->job->state == FT_JOB_OPEN;
 }
 
-/* A copy of a direct start may arrive late. A worker that still remembers the attempt ignores the copy. A worker that
- * has forgotten the attempt would start the task again: the task would run twice, or, if it is done, exceed the team's
+gboolean
+ft_worker_command_start_may_be_copied (const FtAttempt *attempt)
+{
+  return attempt->direct_token != 0 && attempt->direct_token >= attempt->machine->worker_token.shown;
+}
+
+/* A worker that still remembers the attempt ignores a copy of its start. A worker that has forgotten the attempt would
+ * start the task again: the task would run twice, run after its cancellation, or, if it is done, exceed the team's
  * limit for a moment. */
 gboolean
 ft_worker_command_may_forget (const FtAttempt *attempt)
 {
-  const FtCoreContext *context = attempt->machine->context;
-  if (attempt->state != FT_ATTEMPT_FORGETTABLE || attempt->direct_start == FT_DIRECT_START_IN_FLIGHT
-      || attempt->direct_start == FT_DIRECT_START_UNANSWERED)
-    return FALSE;
-  return attempt->direct_start == FT_DIRECT_START_NONE
-         || context->now - attempt->exited_at > ft_seconds (FT_LATE_COPY_LEASES * context->settings->lease_s);
+  return attempt->state == FT_ATTEMPT_FORGETTABLE && !ft_worker_command_start_may_be_copied (attempt);
 }
 
 void
@@ -43,6 +44,7 @@
   FtDirectRequest *direct = g_new0 (FtDirectRequest, 1);
   direct->machine = g_strdup (machine->name);
   direct->addr = g_strdup (machine->addr);
+  direct->token = machine->worker_token.current;
   direct->incarnation = machine->incarnation;
   direct->commands = commands;
   machine->requests.command_in_flight = TRUE;
--- a/src/core/worker_heartbeats.c
+++ b/src/core/worker_heartbeats.c
@@ -23,14 +23,14 @@
   return machine;
 }
 
-/* Whether the status is older than the machine's newest one, or is a copy from before the worker saw our token. A copy
- * may arrive more than a lease time after it was sent. */
+/* Whether the status is older than the machine's newest one, or is a copy from before the worker saw the highest of our
+ * tokens that it has shown. A copy may arrive more than a lease time after it was sent. */
 static gboolean
 is_outdated (const FtMachine *machine, const FtWorkerHeartbeat *heartbeat)
 {
   return heartbeat->incarnation <= machine->expired_incarnation || heartbeat->incarnation < machine->incarnation
          || (heartbeat->incarnation == machine->incarnation && heartbeat->sequence <= machine->sequence)
-         || (machine->reachability.acknowledged_token && heartbeat->token < machine->context->token);
+         || heartbeat->token < machine->worker_token.shown;
 }
 
 static void
@@ -70,7 +70,7 @@
 update_receiving (FtMachine *machine, const FtWorkerHeartbeat *heartbeat)
 {
   const FtCoreContext *context = machine->context;
-  gboolean missing = machine->reachability.answered > 0 && heartbeat->token < context->token;
+  gboolean missing = machine->reachability.answered > 0 && heartbeat->token < context->first_worker_token;
   gboolean expected = FALSE;
   GHashTableIter it;
   gpointer value;
@@ -97,6 +97,7 @@
   FtCoreContext *context = heartbeats->context;
   if (ft_reachability_token_acknowledged (&machine->reachability))
     context->placement_due = TRUE;
+  ft_worker_token_record (&machine->worker_token, heartbeat->token);
   context->last_acknowledged_at = context->now;
   if (!machine->reconciled) {
     ft_machine_set_reconciled (machine);
@@ -116,7 +117,7 @@
     begin_incarnation (machine, heartbeat->incarnation);
   machine->sequence = heartbeat->sequence;
   record_contact (machine, is_heartbeat);
-  if (heartbeat->token >= context->token)
+  if (heartbeat->token >= context->first_worker_token)
     apply_acknowledged_status (heartbeats, machine, heartbeat, is_heartbeat);
   if (is_heartbeat) {
     update_receiving (machine, heartbeat);
--- a/src/net/leader.c
+++ b/src/net/leader.c
@@ -81,7 +81,7 @@
 {
   FtCatalog *cached = ft_catalog_cache_get (node->catalog_cache);
   g_autoptr (FtCatalog) catalog = cached != NULL ? ft_catalog_ref (cached) : ft_catalog_new ();
-  FtScheduler *scheduler = ft_scheduler_new (&node->config->core, catalog, ft_lease_token (node->lease),
+  FtScheduler *scheduler = ft_scheduler_new (&node->config->core, catalog, ft_lease_worker_tokens (node->lease),
                                              node->answer_grace_us, now, g_rand_int (node->random));
   ft_scheduler_set_tuning (scheduler, ft_settings_reader_tuning (node->settings));
   return scheduler;
--- a/src/net/leader_commands.c
+++ b/src/net/leader_commands.c
@@ -58,7 +58,7 @@
 {
   const FtDirectRequest *direct = ((CommandRequest *) request)->direct;
   const FtNode *node = request->term->node;
-  json_t *body = ft_message_commands (ft_lease_token (node->lease), direct->incarnation, direct->commands);
+  json_t *body = ft_message_commands (direct->token, direct->incarnation, direct->commands);
   ft_http_send_raw (node->worker_client, "POST", direct->addr, "/commands", FT_BODY_CBOR, body, FT_COMMAND_TIMEOUT_S,
                     TRUE, ft_leader_request_on_worker_answer, request);
   json_decref (body);
--- a/src/net/worker_endpoint.c
+++ b/src/net/worker_endpoint.c
@@ -58,8 +58,9 @@
     return;
   }
   ft_scheduler_set_may_start (scheduler, ft_lease_may_start (node->lease, now));
-  g_autoptr (GArray) commands = ft_scheduler_answer (scheduler, heartbeat, now);
-  ft_http_respond (request, FT_HTTP_OK, ft_message_answer (ft_lease_token (node->lease), commands));
+  guint64 token;
+  g_autoptr (GArray) commands = ft_scheduler_answer (scheduler, heartbeat, now, &token);
+  ft_http_respond (request, FT_HTTP_OK, ft_message_answer (token, commands));
   ft_leader_run_actions (node->leader, g_get_monotonic_time ());
 }
 
--- a/src/wire/lease_rows.c
+++ b/src/wire/lease_rows.c
@@ -47,7 +47,7 @@
 read_fence (const FtRow *row, FtLeaseRows *out)
 {
   out->fence_revision = row->revision;
-  return ft_field_count (row->value, FIELD_TOKEN, 0, G_MAXINT32, &out->token)
+  return ft_field_count (row->value, FIELD_TOKEN, 0, FT_FENCING_TOKEN_MAX, &out->token)
          && ft_field_count (row->value, FIELD_INCARNATION, 0, G_MAXINT64, &out->incarnation)
          && ft_field_text (row->value, FIELD_HOLDER, FT_TEXT_MAX, &out->holder);
 }
--- a/src/wire/peer_heartbeat.c
+++ b/src/wire/peer_heartbeat.c
@@ -127,12 +127,12 @@
   return TRUE;
 }
 
-/* Reads an optional number of at least `min`. Returns FALSE if the field is present but not valid. */
+/* Reads an optional number from `min` to `max`. Returns FALSE if the field is present but not valid. */
 static gboolean
-parse_count (const json_t *body, const char *name, guint64 min, gboolean *present, guint64 *out)
+parse_count (const json_t *body, const char *name, guint64 min, guint64 max, gboolean *present, guint64 *out)
 {
   *present = !ft_field_is_null (body, name);
-  return !*present || ft_field_count (body, name, min, G_MAXINT32, out);
+  return !*present || ft_field_count (body, name, min, max, out);
 }
 
 /* Reads an optional boolean. Returns FALSE if the field is present but not valid. */
@@ -148,8 +148,8 @@
   g_autoptr (FtPeerHeartbeat) heartbeat = ft_peer_heartbeat_new (NULL);
   gboolean leads;
   if (!ft_field_text (body, FIELD_MEMBER, FT_TEXT_MAX, &heartbeat->member)
-      || !parse_count (body, FIELD_STORE_ANSWERED, 0, &heartbeat->served, &heartbeat->served_ms_ago)
-      || !parse_count (body, FIELD_FENCING_TOKEN, 1, &leads, &heartbeat->token)
+      || !parse_count (body, FIELD_STORE_ANSWERED, 0, G_MAXINT32, &heartbeat->served, &heartbeat->served_ms_ago)
+      || !parse_count (body, FIELD_FENCING_TOKEN, 1, FT_FENCING_TOKEN_MAX, &leads, &heartbeat->token)
       || !parse_bool (body, FIELD_YIELDS, &heartbeat->yields)
       || !parse_bool (body, FIELD_SUPPORTS_DEPENDENCIES, &heartbeat->supports_dependencies))
     return NULL;
--- a/tests/core_state.hpp
+++ b/tests/core_state.hpp
@@ -35,7 +35,7 @@
     settings.value_kb = 1;
     context.settings = &settings;
     context.catalog = ft_catalog_new ();
-    context.token = 7;
+    context.token = context.first_worker_token = 7;
     context.now = 100 * kS;
     add_type ("std", 8);
     ft_quota_init (&quota, &settings);
--- a/tests/leader_module.hpp
+++ b/tests/leader_module.hpp
@@ -35,7 +35,7 @@
     node.lease = ft_lease_new ("hearth-0", 1, ft_seconds (8), ft_seconds (2), ft_seconds (18), 1);
     term.node = &node;
     term.number = 1;
-    term.scheduler = ft_scheduler_new (&core.settings, core.context.catalog, 7, ft_seconds (18), now, 1);
+    term.scheduler = ft_scheduler_new (&core.settings, core.context.catalog, { 7, 7 }, ft_seconds (18), now, 1);
     term.progress = [] (gpointer) {};
     ft_scheduler_loaded (term.scheduler, now);
   }
--- a/tests/scheduler_harness.hpp
+++ b/tests/scheduler_harness.hpp
@@ -44,8 +44,8 @@
 struct SchedulerHarness {
   sim::World world{ 1 };
   FtScheduler *scheduler;
-  explicit SchedulerHarness (guint64 token = 3)
-      : scheduler (ft_scheduler_new (&world.settings, world.catalog, token, 18 * kS, 100 * kS, 1))
+  explicit SchedulerHarness (FtWorkerTokenRange tokens = { 3, 3 })
+      : scheduler (ft_scheduler_new (&world.settings, world.catalog, tokens, 18 * kS, 100 * kS, 1))
   {
   }
   ~SchedulerHarness () { ft_scheduler_free (scheduler); }
@@ -90,7 +90,7 @@
   {
     g_autoptr (FtWorkerHeartbeat) heartbeat = new_heartbeat (1, sequence, 3, name, zone, spot);
     ASSERT_TRUE (ft_scheduler_heartbeat (scheduler, heartbeat, now));
-    g_autoptr (GArray) none = ft_scheduler_answer (scheduler, heartbeat, now);
+    g_autoptr (GArray) none = ft_scheduler_answer (scheduler, heartbeat, now, nullptr);
     commit_writes (now);
   }
   // Brings up the machine n-2, whose registry row is not committed yet.
@@ -110,7 +110,7 @@
     add_tasks (heartbeat, tasks);
     EXPECT_TRUE (ft_scheduler_heartbeat (scheduler, heartbeat, now));
     ft_scheduler_place (scheduler, now, TRUE);
-    return ft_scheduler_answer (scheduler, heartbeat, now);
+    return ft_scheduler_answer (scheduler, heartbeat, now, nullptr);
   }
   // The functions below read or set internals of the scheduler. Tests access internals only through them.
   FtMachine *
--- a/tests/sim/day.hpp
+++ b/tests/sim/day.hpp
@@ -65,6 +65,8 @@
   void machine_fault (Time when);
   // A random machine reboots at once: it has a new incarnation and has lost its tasks.
   void reboot (Time when);
+  // All tasks that begin on a random machine in that time fail at once.
+  void fail_tasks (Time when, Time length);
   // All messages to a random machine are lost, while its heartbeats are still sent.
   void stop_receiving (Time when, Time length);
 
--- a/tests/sim/day_faults.cpp
+++ b/tests/sim/day_faults.cpp
@@ -83,6 +83,15 @@
   });
 }
 
+void
+Day::fail_tasks (Time when, Time fault_length)
+{
+  world.at (when, [this, fault_length] {
+    if (!world.machines.empty ())
+      any_machine ()->tasks_fail_until = world.now + fault_length;
+  });
+}
+
 void
 Day::stop_receiving (Time when, Time fault_length)
 {
--- a/tests/sim/faults.hpp
+++ b/tests/sim/faults.hpp
@@ -46,6 +46,8 @@
   guint heartbeats_after_takeover = 0; // heartbeats sent before a takeover and answered with 200 after it
   guint late_commands_executed = 0;    // late direct commands that a worker has executed
   guint late_commands_refused = 0;     // late direct commands that a worker has refused for an old fencing token
+  guint copies_executed = 0;           // late copies of direct commands that a worker has executed
+  guint copies_refused = 0;            // late copies of direct commands that a worker has refused
   // Tasks begun on machines whose heartbeats had reached no controller for three lease times.
   guint starts_while_not_reporting = 0;
   guint cancelled_by_poll = 0;    // jobs that a poll has cancelled because an ancestor was cancelled
--- a/tests/sim/handles.hpp
+++ b/tests/sim/handles.hpp
@@ -19,6 +19,7 @@
 using Array = std::shared_ptr<GArray>;
 using PointerArray = std::shared_ptr<GPtrArray>;
 using Heartbeat = std::shared_ptr<FtWorkerHeartbeat>;
+using DirectMessage = std::shared_ptr<FtDirectRequest>; // direct commands on their way to a worker
 
 // Each adopt() takes over the caller's reference; a null pointer gives an empty handle.
 
--- a/tests/sim/network.cpp
+++ b/tests/sim/network.cpp
@@ -63,6 +63,34 @@
     action ();
 }
 
+std::optional<Worker::CommandAnswer>
+World::execute_direct (const DirectMessage &direct)
+{
+  auto machine = machines.find (direct->machine);
+  if (machine == machines.end () || !machine->second->up)
+    return {};
+  return machine->second->execute_commands (direct->token, direct->incarnation, direct->commands);
+}
+
+void
+World::deliver_copy (const DirectMessage &direct)
+{
+  arrive (direct->machine, [this, direct] {
+    auto answer = execute_direct (direct);
+    if (!answer || direct->commands->len == 0)
+      return;
+    counters.copies_executed += answer->status == 200;
+    counters.copies_refused += answer->status == 409;
+  });
+}
+
+Time
+World::copy_delay ()
+{
+  const double longest_s[] = { 1, 1.5 * settings.lease_s, 240 };
+  return seconds_between (0.1, longest_s[below (G_N_ELEMENTS (longest_s))]);
+}
+
 void
 World::keep_heartbeat (const Heartbeat &heartbeat)
 {
--- a/tests/sim/node.hpp
+++ b/tests/sim/node.hpp
@@ -151,11 +151,10 @@
   void batch_finished (const PointerArray &writes, bool applied, const char *conflicted_job);
 
   // node_workers.cpp
-  using DirectCommand = std::shared_ptr<FtDirectRequest>;
   using DirectFinish = std::function<void (guint status, Heartbeat heartbeat)>;
   void send_direct_commands ();
-  void send_direct_command (const DirectCommand &direct);
-  void direct_command_finished (const DirectCommand &direct, guint status, const FtWorkerHeartbeat *heartbeat);
+  void send_direct_command (const DirectMessage &direct);
+  void direct_command_finished (const DirectMessage &direct, guint status, const FtWorkerHeartbeat *heartbeat);
 
   // node_cloud.cpp
   void call_cloud ();
--- a/tests/sim/node_lease.cpp
+++ b/tests/sim/node_lease.cpp
@@ -154,8 +154,8 @@
 {
   Time now = clock ();
   term_++;
-  scheduler_.reset (ft_scheduler_new (&own_settings (), world_.catalog, ft_lease_token (lease_.get ()), answer_grace_,
-                                      now, (guint32) world_.below (1 << 30)));
+  scheduler_.reset (ft_scheduler_new (&own_settings (), world_.catalog, ft_lease_worker_tokens (lease_.get ()),
+                                      answer_grace_, now, (guint32) world_.below (1 << 30)));
   world_.counters.takeovers++;
   if (world_.on_takeover)
     world_.on_takeover (*this);
--- a/tests/sim/node_workers.cpp
+++ b/tests/sim/node_workers.cpp
@@ -33,8 +33,7 @@
   ft_scheduler_place (scheduler_.get (), now, ft_lease_may_start (lease_.get (), now));
   answer.status = 200;
   heartbeats_answered++;
-  answer.token = ft_lease_token (lease_.get ());
-  answer.commands = adopt (ft_scheduler_answer (scheduler_.get (), heartbeat, now));
+  answer.commands = adopt (ft_scheduler_answer (scheduler_.get (), heartbeat, now, &answer.token));
   run_leader ();
   return answer;
 }
@@ -45,13 +44,13 @@
 Node::send_direct_commands ()
 {
   while (FtDirectRequest *direct = ft_scheduler_next_direct_request (scheduler_.get (), clock ()))
-    send_direct_command (DirectCommand (direct, ft_direct_request_free));
+    send_direct_command (DirectMessage (direct, ft_direct_request_free));
 }
 
 // Sends the commands of one request to the worker, which executes them when the message arrives and
 // answers with a heartbeat.
 void
-Node::send_direct_command (const DirectCommand &direct)
+Node::send_direct_command (const DirectMessage &direct)
 {
   auto done = std::make_shared<bool> (false);
   DirectFinish finish = [this, term = term_, done, direct] (guint status, Heartbeat heartbeat) {
@@ -62,31 +61,27 @@
   };
   World &world = world_;
   Time late = world.chance (world.faults.late_direct_commands) ? world.seconds_between (2, 20) : 0;
-  auto arrive = [&world, from = name (), direct, token = ft_lease_token (lease_.get ()), finish, late] {
-    auto it = world.machines.find (direct->machine);
-    if (it == world.machines.end () || !it->second->up)
+  auto arrive = [&world, from = name (), direct, finish, late] {
+    auto answer = world.execute_direct (direct);
+    if (!answer)
       return;
-    auto execute = [worker = it->second, direct, token] {
-      return worker->execute_commands (token, direct->incarnation, direct->commands);
-    };
-    Worker::CommandAnswer answer = execute ();
-    world.counters.late_commands_executed += late > 0 && answer.status == 200 && direct->commands->len > 0;
-    world.counters.late_commands_refused += late > 0 && answer.status == 409 && answer.heartbeat->token > token;
-    if (answer.status == 200 && world.chance (world.faults.duplicates))
-      world.after (world.seconds_between (1, 1.5 * world.settings.lease_s), [worker = it->second, execute] {
-        if (worker->alive)
-          execute ();
-      });
-    world.deliver (direct->machine, from, [finish, answer] { finish (answer.status, answer.heartbeat); });
+    world.counters.late_commands_executed += late > 0 && answer->status == 200 && direct->commands->len > 0;
+    world.counters.late_commands_refused
+        += late > 0 && answer->status == 409 && answer->heartbeat->token > direct->token;
+    world.deliver (direct->machine, from, [finish, answer] { finish (answer->status, answer->heartbeat); });
   };
   world.after (late, [&world, from = name (), direct, arrive] { world.deliver (from, direct->machine, arrive); });
   schedule ((Time) (FT_COMMAND_TIMEOUT_S * kSecond), [finish] { finish (0, nullptr); });
+  if (world.on_direct_message)
+    world.on_direct_message (direct);
+  if (world.chance (world.faults.duplicates))
+    world.after (world.copy_delay (), [&world, direct] { world.deliver_copy (direct); });
 }
 
 // Reports the result of a direct command to the scheduler, and steps down if the worker has seen a
 // higher fencing token.
 void
-Node::direct_command_finished (const DirectCommand &direct, guint status, const FtWorkerHeartbeat *heartbeat)
+Node::direct_command_finished (const DirectMessage &direct, guint status, const FtWorkerHeartbeat *heartbeat)
 {
   FtDirectResult result = status == 200 ? FT_DIRECT_OK : status == 409 ? FT_DIRECT_CONFLICT : FT_DIRECT_UNANSWERED;
   if (ft_scheduler_direct_request_done (scheduler_.get (), direct.get (), result, heartbeat, clock ()))
--- a/tests/sim/worker.cpp
+++ b/tests/sim/worker.cpp
@@ -288,7 +288,8 @@
     started.exit_reason = FT_EXIT_NO_ROOM;
   if (started.exit_reason != FT_EXIT_NONE)
     started.phase = FT_TASK_PHASE_EXITED;
-  started.next_at = world_.now + world_.seconds_between (0.1, 1.5);
+  // Each job has an image of its own, which the machine fetches once.
+  started.next_at = images_.count (command.job) > 0 ? world_.now : world_.now + world_.seconds_between (0.1, 1.5);
   tasks_.push_back (started);
   changed_ = true;
 }
@@ -320,6 +321,7 @@
 {
   bool has_result = world_.results.count (task.name ()) > 0;
   Time lease = (Time) (world_.settings.lease_s * kSecond);
+  images_.insert (task.job);
   task.phase = FT_TASK_PHASE_RUNNING;
   // Three lease times cover a takeover and the time until the leader declares the machine lost.
   world_.counters.starts_while_not_reporting
--- a/tests/sim/worker.hpp
+++ b/tests/sim/worker.hpp
@@ -7,6 +7,7 @@
 #include "handles.hpp"
 
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -119,6 +120,7 @@
   bool changed_ = true;          // the worker has changes that no heartbeat has reported yet
   Time not_receiving_until_ = 0, not_reporting_until_ = 0, not_reporting_since_ = 0;
   std::vector<WorkerTask> tasks_;
+  std::set<std::string> images_; // jobs whose image is cached
 };
 
 } // namespace sim
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -98,6 +98,14 @@
   // Cuts the network between two hosts, in both directions, until that time.
   void cut (const std::string &first, const std::string &second, Time until);
   bool is_cut (const std::string &from, const std::string &to) const;
+  // Executes direct commands that arrive at their machine now, and returns the worker's answer; empty if the machine is
+  // not up.
+  std::optional<Worker::CommandAnswer> execute_direct (const DirectMessage &direct);
+  // Delivers a copy of direct commands to their machine now, whatever became of the original. The answer is dropped.
+  void deliver_copy (const DirectMessage &direct);
+  // How late the copy of a direct command arrives: up to a second, up to 1.5 worker leases or up to four minutes, each
+  // equally often.
+  Time copy_delay ();
   // Keeps the worker's newest heartbeat, for replay_heartbeats(). Called only with
   // FaultSettings::replay_heartbeats.
   void keep_heartbeat (const Heartbeat &heartbeat);
@@ -145,6 +153,8 @@
   std::unique_ptr<Checker> checker;
   // Called when a controller has acquired the lease, before it has read any row.
   std::function<void (Node &)> on_takeover;
+  // Called when a leader sends direct commands.
+  std::function<void (const DirectMessage &)> on_direct_message;
 
   // ---- behaviour of tasks ----
 
--- a/tests/test_fuzz.cpp
+++ b/tests/test_fuzz.cpp
@@ -39,10 +39,10 @@
   if (heartbeat == nullptr)
     return;
   sim::World world (1);
-  g_autoptr (FtScheduler) scheduler = ft_scheduler_new (&world.settings, world.catalog, 41, 0, 1, 1);
+  g_autoptr (FtScheduler) scheduler = ft_scheduler_new (&world.settings, world.catalog, { 41, 41 }, 0, 1, 1);
   ft_scheduler_loaded (scheduler, 1);
   if (ft_scheduler_heartbeat (scheduler, heartbeat, 2)) {
-    g_autoptr (GArray) commands = ft_scheduler_answer (scheduler, heartbeat, 2);
+    g_autoptr (GArray) commands = ft_scheduler_answer (scheduler, heartbeat, 2, nullptr);
     json_decref (ft_message_answer (41, commands));
   }
 }
@@ -70,7 +70,7 @@
 read_rows (const GArray *rows)
 {
   sim::World world (1);
-  g_autoptr (FtScheduler) scheduler = ft_scheduler_new (&world.settings, world.catalog, 41, 0, 1, 1);
+  g_autoptr (FtScheduler) scheduler = ft_scheduler_new (&world.settings, world.catalog, { 41, 41 }, 0, 1, 1);
   FtLeaseRows lease{};
   ft_row_lease_parse (rows, &lease);
   ft_lease_rows_clear (&lease);
--- a/tests/test_lease.cpp
+++ b/tests/test_lease.cpp
@@ -36,7 +36,9 @@
   EXPECT_FALSE (ft_lease_acquire_due (view.lease, 16 * kS));
   EXPECT_TRUE (ft_lease_acquire_due (view.lease, 18 * kS));
   FtLeaseClaim claim = ft_lease_claim (view.lease, 18 * kS);
-  EXPECT_EQ (claim.token, 5u);
+  EXPECT_EQ (claim.token, 4u + FT_WORKER_TOKENS);
+  EXPECT_EQ (ft_lease_worker_tokens (view.lease).first, 5u);
+  EXPECT_EQ (ft_lease_worker_tokens (view.lease).last, claim.token);
   EXPECT_EQ (claim.fence_revision, 10u);
   EXPECT_TRUE (claim.check_renewal);
 }
--- a/tests/test_module_attempt.cpp
+++ b/tests/test_module_attempt.cpp
@@ -63,7 +63,7 @@
 // heartbeat. The worker may still execute an unanswered one, even if the answer to another copy arrives later.
 TEST_F (AttemptModule, DirectStartStaysUnansweredAfterAnotherOfItsRequestsIsAnswered)
 {
-  ft_attempt_direct_start_sent (attempt);
+  ft_attempt_direct_start_sent (attempt, 7);
   EXPECT_EQ (attempt->direct_start, FT_DIRECT_START_IN_FLIGHT);
   ft_attempt_direct_start_answered (attempt);
   EXPECT_EQ (attempt->direct_start, FT_DIRECT_START_ANSWERED);
--- a/tests/test_random_runs.cpp
+++ b/tests/test_random_runs.cpp
@@ -91,6 +91,21 @@
   day.finish ();
 }
 
+// Tasks move and are cancelled while one leader stays, so that its fencing token refuses no copy.
+TEST_P (RandomRun, JobsFinishDespiteCopiesOfDirectCommandsUnderOneLeader)
+{
+  Day day (GetParam () + 1300);
+  day.world.faults.duplicates = 0.8;
+  day.load ();
+  day.load_long (6, 3, 120);
+  for (int i = 0; i < 12; i++)
+    day.fail_tasks (day.world.seconds_between (20, 180), day.world.seconds_between (2, 10));
+  for (int i = 0; i < 4; i++)
+    day.cancel_running (day.world.seconds_between (20, 180), 1);
+  day.finish ();
+  EXPECT_GT (day.world.counters.copies_executed, 0u);
+}
+
 TEST_P (RandomRun, JobsFinishWhileControllersArePartitionedFromTheStore)
 {
   Day day (GetParam () + 700);
--- a/tests/test_scheduler_commands.cpp
+++ b/tests/test_scheduler_commands.cpp
@@ -33,7 +33,7 @@
   guint index = g_array_index (starts, FtCommand, 0).index;
   add_tasks (heartbeat, { task_status ("req-1", index, id, FT_TASK_PHASE_RUNNING) });
   ft_scheduler_heartbeat (harness.scheduler, heartbeat, 102 * kS);
-  g_autoptr (GArray) commands = ft_scheduler_answer (harness.scheduler, heartbeat, 102 * kS);
+  g_autoptr (GArray) commands = ft_scheduler_answer (harness.scheduler, heartbeat, 102 * kS, nullptr);
   EXPECT_EQ (count_commands (commands, FT_COMMAND_STOP), 1u);
   EXPECT_EQ (commands->len, 1u);
 }
--- a/tests/test_scheduler_heartbeats.cpp
+++ b/tests/test_scheduler_heartbeats.cpp
@@ -39,7 +39,7 @@
   for (guint64 sequence = 1; sequence < 11; sequence++, at += 2 * kS) {
     g_autoptr (FtWorkerHeartbeat) old = harness.new_heartbeat (1, sequence, 2);
     EXPECT_TRUE (ft_scheduler_heartbeat (harness.scheduler, old, at));
-    g_autoptr (GArray) none = ft_scheduler_answer (harness.scheduler, old, at);
+    g_autoptr (GArray) none = ft_scheduler_answer (harness.scheduler, old, at, nullptr);
     EXPECT_EQ (none->len, 0u);
   }
   harness.second_machine_up (at);
@@ -131,7 +131,7 @@
   ASSERT_EQ (ft_machine_room (fleet.machine ("n-000007"), fleet.job ("req-299")->spec), 0u);
   guint before = ft_scheduler_examined (scheduler);
   ft_scheduler_place (scheduler, fleet.now, TRUE); // no pass runs, since the pause after the last pass is not over
-  g_autoptr (GArray) commands = ft_scheduler_answer (scheduler, fleet.report (7, 2), fleet.now);
+  g_autoptr (GArray) commands = ft_scheduler_answer (scheduler, fleet.report (7, 2), fleet.now, nullptr);
   EXPECT_EQ (ft_scheduler_next_direct_request (scheduler, fleet.now), nullptr);
   fleet.commit_writes (fleet.now);
   EXPECT_LE (ft_scheduler_examined (scheduler) - before, 64u);
--- a/tests/test_scheduler_recovery.cpp
+++ b/tests/test_scheduler_recovery.cpp
@@ -44,7 +44,7 @@
   g_autoptr (FtWorkerHeartbeat) old_heartbeat = harness.new_heartbeat (1, 1, 2);
   ft_scheduler_heartbeat (harness.scheduler, old_heartbeat, 101 * kS);
   ft_scheduler_place (harness.scheduler, 101 * kS, TRUE);
-  g_autoptr (GArray) none = ft_scheduler_answer (harness.scheduler, old_heartbeat, 101 * kS);
+  g_autoptr (GArray) none = ft_scheduler_answer (harness.scheduler, old_heartbeat, 101 * kS, nullptr);
   EXPECT_EQ (none->len, 0u);
   // A heartbeat under the new token reconciles the machine: one task is found running, and the other is queued and
   // started.
