The status in a direct answer counts on a machine that is being returned too

What callers could see: a team above its limit until the machine's next heartbeat. Seen in a test only.

Cause: on a machine that was being returned, the result of a direct start was recorded, and the status that came with it was not. The attempt then looked like one whose start had been answered and never executed. When its job was cancelled, the attempt ended at once and freed its share of the team's limit, while its task ran. Found while looking for whatever counts as free while a direct start can still be executed.

Fix: the status is applied in every state of the machine, as that of a heartbeat is. The attempt is then shown, counts, and is stopped like any other.

Test: Scheduler.TaskStartedDirectlyOnAMachineBeingReturnedCountsUntilItIsGone, red before (the attempt was gone and its CPUs were free).

--- a/src/core/scheduler_workers.c
+++ b/src/core/scheduler_workers.c
@@ -83,8 +83,7 @@
   apply_direct_result (machine, direct, result);
   if (heartbeat == NULL || g_strcmp0 (heartbeat->machine, machine->name) != 0)
     return TRUE;
-  if (machine->state != FT_MACHINE_TERMINATING || !machine->reconciled)
-    apply_status (scheduler, machine, heartbeat, FALSE);
+  apply_status (scheduler, machine, heartbeat, FALSE);
   if (result == FT_DIRECT_CONFLICT && !machine->reconciled)
     ft_probes_retry_now (machine);
   ft_recovery_tick (&scheduler->recovery);
--- a/tests/test_scheduler_commands.cpp
+++ b/tests/test_scheduler_commands.cpp
@@ -56,6 +56,26 @@
   EXPECT_EQ (count_commands (first, FT_COMMAND_START), 1u);
 }
 
+// Guards against a team that exceeds its limit: a task that a direct request had started on a machine that was being
+// returned counted as never started, and its cancellation freed its share of the limit while it ran.
+TEST (Scheduler, TaskStartedDirectlyOnAMachineBeingReturnedCountsUntilItIsGone)
+{
+  OneMachine harness;
+  ft_scheduler_job_added (harness.scheduler, new_job_spec ("req-1", 1), 5, 101 * kS, 0);
+  ft_scheduler_place (harness.scheduler, 101 * kS, TRUE);
+  FtDirectRequest *direct = ft_scheduler_next_direct_request (harness.scheduler, 101 * kS);
+  ASSERT_NE (direct, nullptr);
+  ft_machine_terminate (harness.machine ("n-1"), "its interruption notice has run out");
+  g_autoptr (FtWorkerHeartbeat) status = harness.new_heartbeat (1, 2, 3);
+  guint64 attempt = g_array_index (direct->commands, FtCommand, 0).attempt;
+  add_tasks (status, { task_status ("req-1", 0, attempt, FT_TASK_PHASE_RUNNING) });
+  ft_scheduler_direct_request_done (harness.scheduler, direct, FT_DIRECT_OK, status, 102 * kS);
+  ft_direct_request_free (direct);
+  ft_scheduler_job_cancelled (harness.scheduler, "req-1", 0, 102 * kS);
+  EXPECT_NE (ft_machine_attempt (harness.machine ("n-1"), "req-1", 0, attempt), nullptr);
+  EXPECT_GT (harness.machine ("n-1")->cpus, 0);
+}
+
 TEST (Scheduler, ForgetCommandIsSentOnlyAfterTheResultIsCommitted)
 {
   OneMachine harness;
