The loopback worker receives copies of direct requests

Each direct request of Program.JobsSurviveRestartsOfEachController arrives again after 0.2 s and after 25 s, across restarts of each controller. The test requires that some copies are executed and some refused, and that none starts a task.

--- a/tests/loopback/worker.hpp
+++ b/tests/loopback/worker.hpp
@@ -1,9 +1,11 @@
 // Stand-in for a worker over loopback HTTP.
 #pragma once
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <vector>
 
+#include "handles.hpp"
 #include "http.hpp"
 
 namespace loopback {
@@ -31,6 +33,8 @@
   guint cancelled_starts = 0; // start commands executed for jobs whose names begin with req-3, without req-3 itself
   std::map<std::string, guint> first_starts; // task -> rank of its first start among all first starts, from 1
   bool waiting = false;                      // a heartbeat is in flight
+  std::vector<double> copy_delays_s;         // of each direct request a copy arrives that many seconds later
+  guint copies_executed = 0, copies_refused = 0;
   guint timer;
   explicit Machine (std::vector<std::string> nodes_, std::string name_ = "n-000001", guint tick_ms = 150,
                     int ticks_ = 2, int heartbeat_ticks_ = 1)
@@ -102,19 +106,39 @@
       }
     }
   }
+  // Executes a direct request; returns false if the worker refuses it.
+  bool
+  execute_direct (const json_t *body)
+  {
+    auto received_token = (guint64) json_integer_value (json_object_get (body, "baton"));
+    if (received_token < token || json_integer_value (json_object_get (body, "shift")) != 1)
+      return false;
+    token = received_token;
+    execute (json_object_get (body, "orders"));
+    return true;
+  }
   static void
   on_request (FtHttpRequest *request, gpointer data)
   {
     auto self = (Machine *) data;
     const json_t *body = ft_http_body (request);
-    auto received_token = (guint64) json_integer_value (json_object_get (body, "baton"));
-    bool ok = received_token >= self->token && json_integer_value (json_object_get (body, "shift")) == 1;
-    if (ok) {
-      self->token = received_token;
-      self->execute (json_object_get (body, "orders"));
-    }
+    bool ok = self->execute_direct (body);
+    for (double delay_s : self->copy_delays_s)
+      self->copies_.push_back (
+          { g_get_monotonic_time () + (gint64) (delay_s * G_USEC_PER_SEC), sim::adopt (json_deep_copy (body)) });
     ft_http_respond (request, ok ? 200 : 409, self->heartbeat ());
   }
+  // Executes the copies of direct requests that are due.
+  void
+  receive_copies ()
+  {
+    gint64 now = g_get_monotonic_time ();
+    auto is_due = [now] (const Copy &copy) { return copy.at <= now; };
+    auto due = std::stable_partition (copies_.begin (), copies_.end (), std::not_fn (is_due));
+    for (auto copy = due; copy != copies_.end (); ++copy)
+      (execute_direct (copy->body.get ()) ? copies_executed : copies_refused)++;
+    copies_.erase (due, copies_.end ());
+  }
   static void
   on_answer (guint status, const json_t *body, gpointer data)
   {
@@ -132,6 +156,7 @@
   on_timer (gpointer data)
   {
     auto self = (Machine *) data;
+    self->receive_copies ();
     for (Task &task : self->tasks)
       if (task.state == "running" && --task.left <= 0) {
         task.state = "exited";
@@ -149,6 +174,14 @@
     json_decref (body);
     return G_SOURCE_CONTINUE;
   }
+
+private:
+  // A copy of a direct request on its way.
+  struct Copy {
+    gint64 at; // when it arrives, in microseconds of the steady clock
+    sim::Json body;
+  };
+  std::vector<Copy> copies_;
 };
 
 } // namespace loopback
--- a/tests/test_program.cpp
+++ b/tests/test_program.cpp
@@ -50,13 +50,18 @@
 TEST_F (Program, JobsSurviveRestartsOfEachController)
 {
   Machine machine (controllers.front);
+  machine.copy_delays_s = { 0.2, 25 };
   ASSERT_NO_FATAL_FAILURE (send_invalid_requests ());
   run_a_job (machine);
   ASSERT_NO_FATAL_FAILURE (restart_each_while_a_job_runs (machine));
+  guint started = machine.starts;
 
   // The tasks of a cancelled job leave the machine, and every controller reports the job as cancelled.
   EXPECT_EQ (cancel (2, "req-3"), "withdrawn");
   EXPECT_TRUE (wait_for ([&] { return machine.tasks.empty (); }));
+  EXPECT_GT (machine.copies_executed, 0u);
+  EXPECT_GT (machine.copies_refused, 0u);
+  EXPECT_EQ (machine.starts, started) << "a late copy of a direct start has started a task";
   for (size_t i = 0; i < kControllers; i++) {
     EXPECT_EQ (state_of (i, "req-3"), "withdrawn");
     EXPECT_EQ (submit (i, job ("req-3", 2))->text ("standing"), "withdrawn");
