Copies of direct starts and results of the store have modules of their own

core/start_copies holds what decides how long a worker remembers a directly started attempt, which was spread over three modules, and net/store_result the result codes, out of the largest source file of net. A further test shows that a machine whose numbers begin anew, which the protocol excludes, gets no commands. No change of behaviour.

--- a/src/core/direct_commands.c
+++ b/src/core/direct_commands.c
@@ -1,6 +1,7 @@
 #include "core/direct_commands.h"
 
 #include "core/attempt_lifecycle.h"
+#include "core/start_copies.h"
 #include "core/worker_commands.h"
 
 static gboolean
@@ -19,26 +20,12 @@
          && attempt->direct_start != FT_DIRECT_START_UNANSWERED;
 }
 
-/* Returns how many starts may be sent directly to the machine. The worker must remember each such attempt until it has
- * seen a higher token, and lists it in its heartbeats. */
-static guint
-count_direct_starts_allowed (const FtMachine *machine)
-{
-  guint count = 0;
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init (&it, machine->attempts);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    count += ft_worker_command_start_may_be_copied (value);
-  return count < FT_DIRECT_STARTS_MAX ? FT_DIRECT_STARTS_MAX - count : 0;
-}
-
 static FtDirectRequest *
 request_to (FtMachine *machine)
 {
   if (!may_send (machine))
     return NULL;
-  guint starts_allowed = count_direct_starts_allowed (machine);
+  guint starts_allowed = ft_start_copies_direct_starts_allowed (machine);
   g_autoptr (GArray) commands = ft_commands_new ();
   GHashTableIter it;
   gpointer value;
--- a/src/core/heartbeat_answer.c
+++ b/src/core/heartbeat_answer.c
@@ -1,5 +1,6 @@
 #include "core/heartbeat_answer.h"
 
+#include "core/start_copies.h"
 #include "core/worker_commands.h"
 
 /* Records that the heartbeat is being answered. Returns FALSE if the answer may carry no commands: the heartbeat is not
@@ -47,46 +48,6 @@
   }
 }
 
-/* Whether the worker has to remember the attempt only because it would execute a copy of the attempt's direct start,
- * and commands to it do not carry a higher token yet. */
-static gboolean
-needs_higher_token (const FtAttempt *attempt)
-{
-  return attempt->state == FT_ATTEMPT_FORGETTABLE && attempt->direct_token >= attempt->machine->worker_token.current;
-}
-
-/* Whether the worker token should be renewed: the worker remembers many directly started attempts, or one of them for a
- * long time. */
-static gboolean
-is_token_renewal_due (const FtMachine *machine)
-{
-  guint remembered = 0;
-  gint64 longest_us = 0;
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init (&it, machine->attempts);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
-    const FtAttempt *attempt = value;
-    if (!needs_higher_token (attempt))
-      continue;
-    remembered++;
-    longest_us = MAX (longest_us, machine->context->now - attempt->exited_at);
-  }
-  return remembered >= FT_REMEMBERED_STARTS_RENEW || longest_us > ft_seconds (FT_REMEMBERED_START_S);
-}
-
-/* Renews the machine's worker token if that is due, so that its worker may forget directly started attempts. A request
- * in flight would be refused for its lower token, so the renewal waits for it. */
-static void
-renew_token_if_due (FtMachine *machine)
-{
-  if (machine->requests.command_in_flight || !is_token_renewal_due (machine))
-    return;
-  if (ft_worker_token_renew (&machine->worker_token, machine->context->token))
-    g_debug ("machine %s: its worker token is renewed (%" G_GUINT64_FORMAT ")", machine->name,
-             machine->worker_token.current);
-}
-
 GArray *
 ft_heartbeat_answer (FtMachineTable *table, FtPlacement *placement, const FtWorkerHeartbeat *heartbeat)
 {
@@ -99,7 +60,7 @@
   /* Stop and forget commands come first, since they make room for the starts. */
   add_stops_and_forgets (commands, machine);
   add_starts (commands, machine, heartbeat->sequence);
-  renew_token_if_due (machine);
+  ft_start_copies_renew_token_if_due (machine);
   return commands;
 }
 
--- a/src/core/worker_commands.c
+++ b/src/core/worker_commands.c
@@ -1,6 +1,7 @@
 #include "core/worker_commands.h"
 
 #include "core/job.h"
+#include "core/start_copies.h"
 
 gboolean
 ft_worker_command_wants_start (const FtAttempt *attempt)
@@ -12,19 +13,13 @@
          && attempt->job->state == FT_JOB_OPEN;
 }
 
-gboolean
-ft_worker_command_start_may_be_copied (const FtAttempt *attempt)
-{
-  return attempt->direct_token != 0 && attempt->direct_token >= attempt->machine->worker_token.shown;
-}
-
 /* A worker that still remembers the attempt ignores a copy of its start. A worker that has forgotten the attempt would
  * start the task again: the task would run twice, run after its cancellation, or, if it is done, exceed the team's
  * limit for a moment. */
 gboolean
 ft_worker_command_may_forget (const FtAttempt *attempt)
 {
-  return attempt->state == FT_ATTEMPT_FORGETTABLE && !ft_worker_command_start_may_be_copied (attempt);
+  return attempt->state == FT_ATTEMPT_FORGETTABLE && !ft_start_copies_possible (attempt);
 }
 
 void
--- a/src/core/worker_commands.h
+++ b/src/core/worker_commands.h
@@ -9,10 +9,6 @@
  * the stored dispatch watermark, the stored registry must name its machine, and no status may show the attempt yet. */
 gboolean ft_worker_command_wants_start (const FtAttempt *attempt);
 
-/* Whether the worker would still execute a copy of a direct request with the attempt's start, however late it arrives:
- * no status of the worker has shown a higher token than that of the request. */
-gboolean ft_worker_command_start_may_be_copied (const FtAttempt *attempt);
-
 /* Whether the worker may forget the attempt: it has exited, its result is not needed, and the worker would refuse a
  * copy of its start. */
 gboolean ft_worker_command_may_forget (const FtAttempt *attempt);
--- a/src/net/store_client.c
+++ b/src/net/store_client.c
@@ -171,51 +171,18 @@
   return TRUE;
 }
 
-static FtStoreResult
-result_of_status (guint status)
-{
-  switch (status) {
-  case 0:
-    return FT_STORE_UNANSWERED;
-  case 200:
-    return FT_STORE_OK;
-  case 400:
-    return FT_STORE_INVALID;
-  case 404:
-    return FT_STORE_NOT_FOUND;
-  case 409:
-    return FT_STORE_CONFLICT;
-  case 410:
-    return FT_STORE_COMPACTED;
-  case 429:
-    return FT_STORE_THROTTLED;
-  case 503:
-    return FT_STORE_UNAVAILABLE;
-  default:
-    return FT_STORE_FAILED;
-  }
-}
-
-/* Whether the store processed the request, whatever the result. */
-static gboolean
-is_served (FtStoreResult result)
-{
-  return result == FT_STORE_OK || result == FT_STORE_NOT_FOUND || result == FT_STORE_CONFLICT
-         || result == FT_STORE_COMPACTED;
-}
-
 /* Handles an answer. Frees the request unless it is sent again. */
 static void
 on_answer (guint status, const json_t *body, gpointer data)
 {
   Request *request = data;
   FtStoreClient *store = request->store;
-  FtStoreResult result = result_of_status (status);
+  FtStoreResult result = ft_store_result_from_status (status);
   gint64 now = g_get_monotonic_time ();
   g_queue_unlink (&store->in_flight, &request->link);
   if (result == FT_STORE_THROTTLED && resend_throttled (request, now))
     return;
-  if (is_served (result)) {
+  if (ft_store_result_is_served (result)) {
     store->last_served = now;
     store->failing_since = 0;
   } else if (store->failing_since == 0 && result != FT_STORE_THROTTLED) {
--- a/tests/test_direct_command_copies.cpp
+++ b/tests/test_direct_command_copies.cpp
@@ -13,10 +13,10 @@
 
 // What happens within a second after that.
 enum class Return {
-  kController,        // the leader's process ends and starts again
-  kControllerUnheard, // the same, while the machine hears no controller for some seconds
-  kMachineResumes,    // the machine hangs and resumes
-  kMachineRestarts,   // the machine restarts and begins a new incarnation
+  kController,            // the leader's process ends and starts again
+  kControllerUnreachable, // the same, while the machine reaches no controller for some seconds
+  kMachineResumes,        // the machine hangs and resumes
+  kMachineRestarts,       // the machine restarts and begins a new incarnation
 };
 
 // How late the copy arrives, counted from the end of the attempt.
@@ -29,7 +29,7 @@
 {
   static const char *const ends[] = { "Moved", "Cancelled", "Done" };
   static const char *const returns[]
-      = { "ControllerBack", "ControllerBackUnheard", "MachineResumes", "MachineRestarts" };
+      = { "ControllerBack", "ControllerBackUnreachable", "MachineResumes", "MachineRestarts" };
   static const char *const ages[] = { "SecondLate", "LeaseLate", "MinutesLate" };
   return std::string (ends[(int) std::get<End> (info.param)]) + returns[(int) std::get<Return> (info.param)]
          + ages[(int) std::get<Age> (info.param)];
@@ -42,7 +42,7 @@
   static constexpr Time kSubmittedAt = 60 * kSecond;
   static constexpr Time kSettled = 20 * kSecond;
   // Shorter than the silence after which a leader terminates a machine.
-  static constexpr Time kUnheard = 4 * kSecond;
+  static constexpr Time kUnreachable = 4 * kSecond;
 
   void
   SetUp () override
@@ -108,9 +108,9 @@
   go_and_return ()
   {
     switch (std::get<Return> (GetParam ())) {
-    case Return::kControllerUnheard:
+    case Return::kControllerUnreachable:
       for (const auto &node : world.nodes)
-        world.cut (node->name (), message->machine, world.now + kUnheard);
+        world.cut (node->name (), message->machine, world.now + kUnreachable);
       [[fallthrough]];
     case Return::kController:
       day.leader ()->crash (kSecond / 2);
@@ -166,7 +166,7 @@
 
 INSTANTIATE_TEST_SUITE_P (All, DirectCommandCopies,
                           testing::Combine (testing::Values (End::kMoved, End::kCancelled, End::kDone),
-                                            testing::Values (Return::kController, Return::kControllerUnheard,
+                                            testing::Values (Return::kController, Return::kControllerUnreachable,
                                                              Return::kMachineResumes, Return::kMachineRestarts),
                                             testing::Values (Age::kSecond, Age::kLease, Age::kMinutes)),
                           combination_name);
--- a/tests/test_worker_token.cpp
+++ b/tests/test_worker_token.cpp
@@ -189,6 +189,25 @@
   }
 }
 
+// The protocol does not let the incarnation, the sequence or the token of a machine begin anew. Statuses that do count
+// as copies: the machine gets no command, and what it was given before still counts.
+TEST (WorkerToken, MachineWhoseNumbersBeginAnewGetsNoCommands)
+{
+  DirectStarts harness;
+  harness.wait (10);
+  harness.run_job ();
+  ft_scheduler_job_added (harness.scheduler, new_job_spec ("req-9", 1), 9000, harness.now, 0);
+  ft_scheduler_place (harness.scheduler, harness.now, TRUE);
+  guint attempts = g_hash_table_size (harness.machine ("n-1")->attempts);
+  for (guint64 sequence : { 1, 2, 3 }) {
+    g_autoptr (FtWorkerHeartbeat) heartbeat = harness.new_heartbeat (1, sequence, sequence == 1 ? 0 : 3);
+    ASSERT_TRUE (ft_scheduler_heartbeat (harness.scheduler, heartbeat, harness.now));
+    g_autoptr (GArray) commands = ft_scheduler_answer (harness.scheduler, heartbeat, harness.now, nullptr);
+    EXPECT_EQ (commands->len, 0u);
+  }
+  EXPECT_EQ (g_hash_table_size (harness.machine ("n-1")->attempts), attempts);
+}
+
 // Guards against an answer that a worker drops because it has seen a higher token of the same leadership.
 TEST (WorkerToken, AnswerToAnUnknownMachineCarriesTheTokenThatItHasSeen)
 {
