--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -118,8 +118,8 @@
 /* Seconds for which a machine must count as not receiving before it may be terminated: until then it is probed,
  * because the fault may be short. */
 #define FT_NOT_RECEIVING_SCALE_IN_S 10.0
-/* Worker tokens of one leadership. Versions that read the fence row accept fencing tokens up to G_MAXINT32 only, and
- * each leadership raises the fencing token by this number. */
+/* Worker tokens of one leadership: each leadership raises the fencing token by this number. Versions up to 2fcd8d5
+ * accept fencing tokens up to G_MAXINT32 only. */
 #define FT_WORKER_TOKENS 16384
 /* Directly started attempts that a worker remembers after their exit before its worker token is renewed. */
 #define FT_REMEMBERED_STARTS_RENEW 32
