DirectCommandCopies requires that the task has moved, was cancelled or is done

Read once more, the test did not show that each of its 36 combinations is what its name says: a task that moved had to have ended on its first machine only. It has to run on another one now, a cancellation to be confirmed and a completion to be counted. All 36 pass, as before.

--- a/tests/test_direct_command_copies.cpp
+++ b/tests/test_direct_command_copies.cpp
@@ -102,6 +102,10 @@
     for (Time until = world.now + kSettled; attempt_is_live () && world.now < until;)
       world.run_until (world.now + kSecond / 10);
     ASSERT_FALSE (attempt_is_live ()) << "the first attempt has not ended";
+    const Checker::Job &job = world.checker->jobs ().at (kJob);
+    EXPECT_EQ (world.checker->live (kJob), end () == End::kMoved ? 1u : 0u);
+    EXPECT_EQ (job.done.size (), end () == End::kDone ? 1u : 0u);
+    EXPECT_EQ (job.cancellation_confirmed_at.has_value (), end () == End::kCancelled);
   }
 
   void
