Red tests: a cancelled task runs on where its leader renews the lease and sends no stop

The leader had answered seven heartbeats that listed the task with 200 and no command.

The checker has a new rule, kept_cancelled, watched in all random runs: a leader that answers a heartbeat with 200 and a valid token stops each live task in it whose cancellation it has read.

The simulated world gains an outage of the cloud, machines that direct commands do not reach, and a start that is held.

--- a/tests/sim/checker.cpp
+++ b/tests/sim/checker.cpp
@@ -149,6 +149,14 @@
     on_last_task_completed (ref);
 }
 
+// ---- answers to heartbeats ----
+
+void
+Checker::cancelled_task_kept (const std::string &task, const std::string &machine)
+{
+  violated ("kept_cancelled", "an answer to " + machine + " renews its lease and does not stop " + task);
+}
+
 // ---- requests of users and their answers ----
 
 void
--- a/tests/sim/checker.hpp
+++ b/tests/sim/checker.hpp
@@ -67,6 +67,12 @@
   // Called when the last task of a job has completed, before the result is reported to any controller.
   std::function<void (const std::string &ref)> on_last_task_completed;
 
+  // ---- answers to heartbeats ----
+
+  // A leader has answered a heartbeat of the machine, which renews the worker's lease, without a stop of a live task
+  // that the heartbeat lists, although it has read that the task's job is cancelled.
+  void cancelled_task_kept (const std::string &task, const std::string &machine);
+
   // ---- requests of users and their answers ----
 
   // A user submits a job.
--- a/tests/sim/cloud.cpp
+++ b/tests/sim/cloud.cpp
@@ -13,6 +13,8 @@
 FtCloudResult
 Cloud::execute (const FtCloudCall &call, bool late)
 {
+  if (down)
+    return FT_CLOUD_REFUSED;
   if (call.op == FT_CLOUD_SCALE_OUT)
     return launch (call, late);
   terminate (call.names);
--- a/tests/sim/cloud.hpp
+++ b/tests/sim/cloud.hpp
@@ -26,6 +26,7 @@
   // The number of machines that are not terminated.
   guint alive_machines () const;
 
+  bool down = false;          // the cloud refuses all calls and answers no list
   guint capacity = 14;        // the largest number of machines alive at a time
   guint launched = 0;         // number of machines launched so far
   double least_boot_s = 2;    // shortest boot time
--- a/tests/sim/network.cpp
+++ b/tests/sim/network.cpp
@@ -67,7 +67,7 @@
 World::execute_direct (const DirectMessage &direct)
 {
   auto machine = machines.find (direct->machine);
-  if (machine == machines.end () || !machine->second->up)
+  if (machine == machines.end () || !machine->second->up || machine->second->loses_commands (now))
     return {};
   return machine->second->execute_commands (direct->token, direct->incarnation, direct->commands);
 }
--- a/tests/sim/node.hpp
+++ b/tests/sim/node.hpp
@@ -152,6 +152,8 @@
 
   // node_workers.cpp
   using DirectFinish = std::function<void (guint status, Heartbeat heartbeat)>;
+  bool knows_cancellation (const std::string &ref) const;
+  void check_answer (const FtWorkerHeartbeat *heartbeat, const HeartbeatAnswer &answer) const;
   void send_direct_commands ();
   void send_direct_command (const DirectMessage &direct);
   void direct_command_finished (const DirectMessage &direct, guint status, const FtWorkerHeartbeat *heartbeat);
--- a/tests/sim/node_cloud.cpp
+++ b/tests/sim/node_cloud.cpp
@@ -51,7 +51,7 @@
   if (clock () < next_list_at_ || !ft_scheduler_is_loaded (scheduler_.get ()))
     return;
   next_list_at_ = clock () + kListInterval;
-  if (world_.is_cut (name (), "cloud"))
+  if (world_.is_cut (name (), "cloud") || world_.cloud.down)
     return;
   Array list = world_.cloud.list ();
   // The list shows the machines as of the request, and arrives 0.5 to 2 times the list lag later.
--- a/tests/sim/node_workers.cpp
+++ b/tests/sim/node_workers.cpp
@@ -8,6 +8,7 @@
 #include "core/constants.h"
 }
 
+#include <algorithm>
 #include <cstring>
 
 namespace sim {
@@ -31,13 +32,45 @@
     return answer;
   }
   ft_scheduler_place (scheduler_.get (), now, ft_lease_may_start (lease_.get (), now));
-  answer.status = 200;
-  heartbeats_answered++;
   answer.commands = adopt (ft_scheduler_answer (scheduler_.get (), heartbeat, now, &answer.token));
+  answer.status = answer.commands != nullptr ? 200 : 503;
+  heartbeats_answered += answer.status == 200;
+  check_answer (heartbeat, answer);
   run_leader ();
   return answer;
 }
 
+// Whether this leader has read that the job is cancelled.
+bool
+Node::knows_cancellation (const std::string &ref) const
+{
+  std::optional<JobRow> row = world_.job_row (ref);
+  return row && !row->state.open && row->state.end == FT_JOB_END_CANCELLED && row->revision <= watch_since_;
+}
+
+// Checks that an answer that renews the worker's lease stops each live task of the heartbeat whose job is known to be
+// cancelled.
+void
+Node::check_answer (const FtWorkerHeartbeat *heartbeat, const HeartbeatAnswer &answer) const
+{
+  if (answer.status != 200 || answer.token < heartbeat->token)
+    return;
+  for (guint i = 0; i < heartbeat->tasks->len; i++) {
+    const FtTaskStatus &status = g_array_index (heartbeat->tasks, FtTaskStatus, i);
+    if (status.state == FT_TASK_PHASE_EXITED || !knows_cancellation (status.job))
+      continue;
+    bool stopped = false;
+    for (guint j = 0; j < answer.commands->len && !stopped; j++) {
+      const FtCommand &command = g_array_index (answer.commands.get (), FtCommand, j);
+      stopped = command.op == FT_COMMAND_STOP && command.attempt == status.attempt && command.index == status.index
+                && g_strcmp0 (command.job, status.job) == 0;
+    }
+    if (!stopped)
+      world_.checker->cancelled_task_kept (std::string (status.job) + "/" + std::to_string (status.index),
+                                           heartbeat->machine);
+  }
+}
+
 // ---- direct commands ----
 
 void
@@ -61,6 +94,8 @@
   };
   World &world = world_;
   Time late = world.chance (world.faults.late_direct_commands) ? world.seconds_between (2, 20) : 0;
+  if (world.direct_delay)
+    late = std::max (late, world.direct_delay (direct));
   auto arrive = [&world, from = name (), direct, finish, late] {
     auto answer = world.execute_direct (direct);
     if (!answer)
--- a/tests/sim/worker.cpp
+++ b/tests/sim/worker.cpp
@@ -73,6 +73,12 @@
   not_reporting_until_ = until;
 }
 
+void
+Worker::lose_commands (Time until)
+{
+  commands_lost_until_ = until;
+}
+
 bool
 Worker::reachable () const
 {
@@ -108,15 +114,19 @@
   world_.after (world_.worker_step, [self] { self->tick (); });
 }
 
+Time
+Worker::lease_ends_at () const
+{
+  return lease_from_ + (Time) (world_.settings.lease_s * kSecond * clock_rate_);
+}
+
 // Ends all tasks and begins a new incarnation if the lease has expired, that is, if no heartbeat sent
 // within the lease time was answered.
 void
 Worker::check_lease ()
 {
-  Time lease = (Time) (world_.settings.lease_s * kSecond * clock_rate_);
-  if (world_.now <= lease_from_ + lease)
-    return;
-  reboot ();
+  if (world_.now > lease_ends_at ())
+    reboot ();
 }
 
 // ---- heartbeats ----
--- a/tests/sim/worker.hpp
+++ b/tests/sim/worker.hpp
@@ -55,6 +55,8 @@
   void stop_receiving (Time until);
   // Until that time the machine cannot connect to any controller, while direct commands still reach it.
   void stop_reporting (Time until);
+  // Until that time direct commands to the machine are lost, while its heartbeats are sent and answered.
+  void lose_commands (Time until);
 
   // ---- protocol ----
 
@@ -73,6 +75,19 @@
   double used_cpus () const;
   // Whether the machine is up and no fault keeps it from receiving or sending messages now.
   bool reachable () const;
+  // When its lease ends, unless a heartbeat is answered before.
+  Time lease_ends_at () const;
+  guint64
+  incarnation () const
+  {
+    return incarnation_;
+  }
+  // Whether direct commands to the machine are lost at that time.
+  bool
+  loses_commands (Time now) const
+  {
+    return now < commands_lost_until_;
+  }
   // Whether messages to the machine are lost at that time.
   bool
   drops_messages (Time now) const
@@ -119,6 +134,7 @@
   bool awaiting_answer_ = false; // a heartbeat is in flight
   bool changed_ = true;          // the worker has changes that no heartbeat has reported yet
   Time not_receiving_until_ = 0, not_reporting_until_ = 0, not_reporting_since_ = 0;
+  Time commands_lost_until_ = 0;
   std::vector<WorkerTask> tasks_;
   std::set<std::string> images_; // jobs whose image is cached
 };
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -155,6 +155,8 @@
   std::function<void (Node &)> on_takeover;
   // Called when a leader sends direct commands.
   std::function<void (const DirectMessage &)> on_direct_message;
+  // Returns how much later than usual a direct command is sent; empty: no later.
+  std::function<Time (const DirectMessage &)> direct_delay;
 
   // ---- behaviour of tasks ----
 
