The lease of a new incarnation is reckoned from its first status, not from the last answer to the former one

What users saw: a task of a cancelled job ran on to the end of its machine (see the red tests before).

Cause: a time that runs from the wrong event. The leader heard of session 2 from a 409 at 29.96, set the incarnation, and left the time of the last answer, 22.48, as it was. So it held session 2 to be over from about 45.5 on, while the worker lived to 50.5 and reported at 48.32. That heartbeat counted as outdated. The same happens to any incarnation that a probe shows long after a failover or a silence: it is over at the leader's next tick.

Change: the first status of an incarnation, by whatever message, sets the time from which its lease is reckoned. The incarnation began before that, so the leader never holds a lease to be over that is not. The separate event for the first heartbeat of an unknown machine says the same and goes.

--- a/src/core/reachability.c
+++ b/src/core/reachability.c
@@ -5,7 +5,7 @@
 void
 ft_reachability_registered (FtReachability *reachability, gint64 answered_until, gint64 now)
 {
-  reachability->last_answer_at = answered_until;
+  reachability->lease_from = answered_until;
   reachability->last_status_at = now;
 }
 
@@ -15,19 +15,14 @@
   reachability->last_status_at = reachability->last_heartbeat_at = now;
   reachability->probe_at = now + ft_seconds (FT_PROBE_FIRST_S);
   /* A heartbeat of the machine may have been answered while the registry was being read. */
-  reachability->last_answer_at = MAX (reachability->last_answer_at, now);
+  reachability->lease_from = MAX (reachability->lease_from, now);
 }
 
 void
-ft_reachability_first_heartbeat (FtReachability *reachability, gint64 now)
-{
-  reachability->last_answer_at = now;
-}
-
-void
-ft_reachability_new_incarnation (FtReachability *reachability)
+ft_reachability_new_incarnation (FtReachability *reachability, gint64 now)
 {
   reachability->answered = 0;
+  reachability->lease_from = MAX (reachability->lease_from, now);
 }
 
 void
@@ -56,7 +51,7 @@
 void
 ft_reachability_answer_sent (FtReachability *reachability, gboolean reconciled, gint64 now)
 {
-  reachability->last_answer_at = now;
+  reachability->lease_from = now;
   if (!reconciled)
     reachability->probe_at = MAX (reachability->probe_at, now + ft_seconds (FT_PROBE_FIRST_S));
 }
@@ -160,8 +155,7 @@
 gboolean
 ft_reachability_lease_over (const FtReachability *reachability, const FtCoreContext *context)
 {
-  return reachability->last_answer_at > 0
-         && context->now > reachability->last_answer_at + ft_reachability_lease_us (context);
+  return reachability->lease_from > 0 && context->now > reachability->lease_from + ft_reachability_lease_us (context);
 }
 
 gint64
--- a/src/core/reachability.h
+++ b/src/core/reachability.h
@@ -3,7 +3,7 @@
  * Three failures are distinguished. A machine is silent if neither heartbeats nor answers to probes arrive from it. It
  * is not receiving if its heartbeats arrive but do not acknowledge our answers. It is not reporting if it answers our
  * commands but its heartbeats reach no controller. A worker lease runs from the last answer that the worker may have
- * received.
+ * received, or from the beginning of its incarnation.
  *
  * Time counts as silence only if this leader could have received a heartbeat in it: see `timers_late_until` and
  * `answers_interrupted_until` of FtCoreContext. Each machine has one such record (FtMachine.reachability), which only
@@ -21,9 +21,10 @@
   /* From this leader to the machine. */
   gboolean acknowledged_token; /* a status has shown our token; a status with a lower token is a late copy */
   guint64 answered;            /* highest heartbeat sequence of the current incarnation that has been answered */
-  gint64 last_answer_at;       /* last answer to a heartbeat, by this leader or a former one; 0: none */
-  guint unacknowledged;        /* heartbeats in a row that do not acknowledge our answers */
-  gint64 not_receiving_since;  /* since when the machine does not receive our answers; 0: it seems to receive them */
+  gint64 lease_from;    /* from when the worker lease is reckoned, never too early: the last answer to a heartbeat,
+                           by this leader or a former one, or the first status of the incarnation; 0: neither */
+  guint unacknowledged; /* heartbeats in a row that do not acknowledge our answers */
+  gint64 not_receiving_since; /* since when the machine does not receive our answers; 0: it seems to receive them */
 } FtReachability;
 
 /* ---- events ---- */
@@ -35,11 +36,9 @@
 /* Records that the whole registry has been read: the machine's silence counts from `now` on. */
 void ft_reachability_registry_loaded (FtReachability *reachability, gint64 now);
 
-/* Records the first heartbeat of a machine that was not in the machine table. */
-void ft_reachability_first_heartbeat (FtReachability *reachability, gint64 now);
-
-/* Records that a new incarnation has begun, none of whose heartbeats has been answered. */
-void ft_reachability_new_incarnation (FtReachability *reachability);
+/* Records the first status of a new incarnation, none of whose heartbeats has been answered. Its worker lease began
+ * with it, at an unknown time before `now`. */
+void ft_reachability_new_incarnation (FtReachability *reachability, gint64 now);
 
 /* Records the arrival of the machine's newest status. `is_heartbeat`: the status came in a heartbeat, not in the answer
  * to a command. */
--- a/src/core/worker_heartbeats.c
+++ b/src/core/worker_heartbeats.c
@@ -16,7 +16,6 @@
     machine = ft_machine_table_add (heartbeats->machine_table, heartbeat->machine, heartbeat->addr, heartbeat->type,
                                     heartbeat->zone, heartbeat->spot);
     ft_machine_set_reconciled (machine);
-    ft_reachability_first_heartbeat (&machine->reachability, heartbeats->context->now);
     g_message ("machine %s: added (first heartbeat)", machine->name);
   }
   ft_machine_set_addr (machine, heartbeat->addr);
@@ -42,7 +41,7 @@
     ft_attempt_end_incarnation (machine);
   }
   machine->incarnation = incarnation;
-  ft_reachability_new_incarnation (&machine->reachability);
+  ft_reachability_new_incarnation (&machine->reachability, machine->context->now);
   machine->fitness.start_unanswered = FALSE;
 }
 
--- a/tests/test_module_reachability.cpp
+++ b/tests/test_module_reachability.cpp
@@ -128,7 +128,7 @@
   EXPECT_FALSE (ft_reachability_lease_over (&machine, &context)) << "the machine was never answered";
   ft_reachability_registered (&machine, 105 * kS, 100 * kS); // a former leader may have answered it until 105 s
   ft_reachability_registry_loaded (&machine, 102 * kS);
-  EXPECT_EQ (machine.last_answer_at, 105 * kS);
+  EXPECT_EQ (machine.lease_from, 105 * kS);
   ft_reachability_answer_sent (&machine, TRUE, 110 * kS);
   context.now = 110 * kS + ft_reachability_lease_us (&context);
   EXPECT_FALSE (ft_reachability_lease_over (&machine, &context));
@@ -136,4 +136,18 @@
   EXPECT_TRUE (ft_reachability_lease_over (&machine, &context));
 }
 
+TEST_F (ReachabilityModule, LeaseOfANewIncarnationRunsFromItsFirstStatus)
+{
+  ft_reachability_answer_sent (&machine, TRUE, 100 * kS);
+  ft_reachability_new_incarnation (&machine, 108 * kS);
+  context.now = 108 * kS + ft_reachability_lease_us (&context);
+  EXPECT_FALSE (ft_reachability_lease_over (&machine, &context));
+  context.now++;
+  EXPECT_TRUE (ft_reachability_lease_over (&machine, &context));
+  // Until then a former leader may still answer the new incarnation.
+  ft_reachability_registered (&machine, 150 * kS, 130 * kS);
+  ft_reachability_new_incarnation (&machine, 131 * kS);
+  EXPECT_EQ (machine.lease_from, 150 * kS);
+}
+
 } // namespace
