A heartbeat that is not applied is not answered with 200, and each answer stops what may not run

Each renewed the lease of a worker that ran a cancelled task, and none carried the stop.

Cause: an answer that grants a right without a check, beside a path that has the check. A heartbeat whose status was dropped (of an incarnation held to be over, of a former one, under a lower token, of a machine that counts as gone) was still answered with 200 and the token. The leader took it for a late copy, whose answer nobody hears; where it was wrong, the answer kept alive what it would never stop. Two further answers renewed a lease without the stops: to a heartbeat older than the newest status, and the first one of a new leader to a worker that has not seen its token.

Change: ft_heartbeat_answer() answers a heartbeat only if it was applied or a newer status of the same incarnation was. All others get 503, so that the worker's lease runs out and a new incarnation reports. Each answer stops every live task in the heartbeat whose job is cancelled or over, from the heartbeat's own list, whatever the record of the machine says. Starts and forgets still need the newest heartbeat and our token.

--- a/src/core/heartbeat_answer.c
+++ b/src/core/heartbeat_answer.c
@@ -3,36 +3,70 @@
 #include "core/start_copies.h"
 #include "core/worker_commands.h"
 
-/* Records that the heartbeat is being answered. Returns FALSE if the answer may carry no commands: the heartbeat is not
- * the newest, or its worker has not seen a token of ours yet, or its incarnation has expired or ended. */
+/* Whether the heartbeat may be answered, which renews the worker's lease: it has been applied, or a newer status of the
+ * same incarnation has, so that the answer stops each of its tasks that may not run. Other heartbeats are late copies,
+ * or contradict what this leader holds; the lease of their worker runs out. */
 static gboolean
-record_answer (FtMachine *machine, const FtWorkerHeartbeat *heartbeat)
+may_answer (const FtMachine *machine, const FtWorkerHeartbeat *heartbeat)
 {
-  const FtCoreContext *context = machine->context;
-  FtReachability *reachability = &machine->reachability;
-  ft_reachability_answer_sent (reachability, machine->reconciled, context->now);
-  if (heartbeat->incarnation != machine->incarnation)
-    return FALSE;
-  ft_reachability_sequence_answered (reachability, heartbeat->sequence);
-  return heartbeat->sequence == machine->sequence && heartbeat->token >= context->first_worker_token
-         && machine->incarnation > machine->expired_incarnation;
+  return heartbeat->incarnation == machine->incarnation && machine->incarnation > machine->expired_incarnation
+         && heartbeat->sequence <= machine->sequence;
+}
+
+/* Whether the answer may carry starts: the heartbeat is the newest, and its worker has seen a token of ours. */
+static gboolean
+may_carry_starts (const FtMachine *machine, const FtWorkerHeartbeat *heartbeat)
+{
+  return heartbeat->sequence == machine->sequence && heartbeat->token >= machine->context->first_worker_token;
+}
+
+static gboolean
+wants_stop (const FtAttempt *attempt)
+{
+  return ft_attempt_stop_requested (attempt) && attempt->state == FT_ATTEMPT_ON_WORKER;
 }
 
 static void
-add_stops_and_forgets (GArray *commands, const FtMachine *machine)
+add_stops (GArray *commands, const FtMachine *machine)
 {
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, machine->attempts);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
-    const FtAttempt *attempt = value;
-    if (ft_attempt_stop_requested (attempt) && attempt->state == FT_ATTEMPT_ON_WORKER)
-      ft_worker_command_add (commands, FT_COMMAND_STOP, attempt);
-    else if (machine->context->may_start && ft_worker_command_may_forget (attempt))
-      ft_worker_command_add (commands, FT_COMMAND_FORGET, attempt);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    if (wants_stop (value))
+      ft_worker_command_add (commands, FT_COMMAND_STOP, value);
+}
+
+/* Stops the tasks that the heartbeat shows alive and whose job is cancelled or over, whatever the record of the machine
+ * says about them. */
+static void
+add_stops_of_listed_tasks (GArray *commands, const FtMachine *machine, const FtJobTable *job_table,
+                           const FtWorkerHeartbeat *heartbeat)
+{
+  for (guint i = 0; i < heartbeat->tasks->len; i++) {
+    const FtTaskStatus *status = &g_array_index (heartbeat->tasks, FtTaskStatus, i);
+    const FtJob *job = ft_job_table_find (job_table, status->job);
+    if (status->state == FT_TASK_PHASE_EXITED || (job != NULL && job->state < FT_JOB_CANCELLING))
+      continue;
+    const FtAttempt *attempt = ft_machine_attempt (machine, status->job, status->index, status->attempt);
+    if (attempt == NULL || !wants_stop (attempt))
+      ft_worker_command_add_stop (commands, status);
   }
 }
 
+static void
+add_forgets (GArray *commands, const FtMachine *machine)
+{
+  GHashTableIter it;
+  gpointer value;
+  if (!machine->context->may_start)
+    return;
+  g_hash_table_iter_init (&it, machine->attempts);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    if (ft_worker_command_may_forget (value))
+      ft_worker_command_add (commands, FT_COMMAND_FORGET, value);
+}
+
 static void
 add_starts (GArray *commands, const FtMachine *machine, guint64 sequence)
 {
@@ -51,14 +85,22 @@
 GArray *
 ft_heartbeat_answer (FtMachineTable *table, FtPlacement *placement, const FtWorkerHeartbeat *heartbeat)
 {
-  GArray *commands = ft_commands_new ();
   FtMachine *machine = ft_machine_table_find (table, heartbeat->machine);
-  if (machine == NULL || !record_answer (machine, heartbeat))
-    return commands;
+  if (machine == NULL || !may_answer (machine, heartbeat))
+    return NULL;
+  ft_reachability_answer_sent (&machine->reachability, machine->reconciled, table->context->now);
+  ft_reachability_sequence_answered (&machine->reachability, heartbeat->sequence);
+  GArray *commands = ft_commands_new ();
+  gboolean with_starts = may_carry_starts (machine, heartbeat);
   /* The room that the heartbeat has freed is filled with starts in this same answer. */
-  ft_placement_fill (placement, machine);
+  if (with_starts)
+    ft_placement_fill (placement, machine);
   /* Stop and forget commands come first, since they make room for the starts. */
-  add_stops_and_forgets (commands, machine);
+  add_stops (commands, machine);
+  add_stops_of_listed_tasks (commands, machine, placement->job_table, heartbeat);
+  if (!with_starts)
+    return commands;
+  add_forgets (commands, machine);
   add_starts (commands, machine, heartbeat->sequence);
   ft_start_copies_renew_token_if_due (machine);
   return commands;
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -72,8 +72,9 @@
 /* Sets whether tasks may be started, that is, whether the lease is valid. The value holds until the next call of this
  * function, ft_scheduler_place() or ft_scheduler_tick(). */
 void ft_scheduler_set_may_start (FtScheduler *scheduler, gboolean may_start);
-/* Returns the commands (FtCommand) for the answer to this heartbeat; the caller frees the array. The commands contain
- * starts only if ft_scheduler_set_may_start() allows them. `token` (out, may be NULL) is the worker token that the
+/* Returns the commands (FtCommand) for the answer to this heartbeat; the caller frees the array. NULL: the heartbeat
+ * must not be answered with status 200, which would renew the worker's lease. The commands contain starts only if
+ * ft_scheduler_set_may_start() allows them. `token` (out, may be NULL) is the worker token that the
  * answer carries. */
 GArray *ft_scheduler_answer (FtScheduler *scheduler, const FtWorkerHeartbeat *heartbeat, gint64 now, guint64 *token);
 
--- a/src/core/worker_commands.c
+++ b/src/core/worker_commands.c
@@ -33,6 +33,14 @@
   g_array_append_val (commands, command);
 }
 
+void
+ft_worker_command_add_stop (GArray *commands, const FtTaskStatus *status)
+{
+  FtCommand command
+      = { .op = FT_COMMAND_STOP, .job = g_strdup (status->job), .index = status->index, .attempt = status->attempt };
+  g_array_append_val (commands, command);
+}
+
 FtDirectRequest *
 ft_worker_command_request_new (FtMachine *machine, GArray *commands)
 {
--- a/src/core/worker_commands.h
+++ b/src/core/worker_commands.h
@@ -16,6 +16,9 @@
 /* Appends a command for the attempt to `commands`, an array of FtCommand. */
 void ft_worker_command_add (GArray *commands, FtCommandOp op, const FtAttempt *attempt);
 
+/* Appends a stop of the task that a status shows to `commands`, without time to save. */
+void ft_worker_command_add_stop (GArray *commands, const FtTaskStatus *status);
+
 /* Returns a new request to the machine with these commands; takes ownership of `commands`. The machine counts as having
  * a command in flight from then on. */
 FtDirectRequest *ft_worker_command_request_new (FtMachine *machine, GArray *commands);
--- a/src/net/worker_endpoint.c
+++ b/src/net/worker_endpoint.c
@@ -26,6 +26,14 @@
   ft_http_respond (request, FT_HTTP_MISDIRECTED, ft_message_redirect (leader));
 }
 
+/* Answers so that the worker's lease is not renewed. The worker connects to another controller next. */
+static void
+refuse (FtHttpRequest *request)
+{
+  ft_http_close_after_response (request);
+  ft_http_unavailable (request);
+}
+
 static gboolean
 may_answer (const FtNode *node, gint64 now)
 {
@@ -60,7 +68,10 @@
   ft_scheduler_set_may_start (scheduler, ft_lease_may_start (node->lease, now));
   guint64 token;
   g_autoptr (GArray) commands = ft_scheduler_answer (scheduler, heartbeat, now, &token);
-  ft_http_respond (request, FT_HTTP_OK, ft_message_answer (token, commands));
+  if (commands != NULL)
+    ft_http_respond (request, FT_HTTP_OK, ft_message_answer (token, commands));
+  else
+    refuse (request);
   ft_leader_run_actions (node->leader, g_get_monotonic_time ());
 }
 
