Log lines and metrics that tell why a machine got no commands and what became of its heartbeats

The session, the refused start and the seven answers are in the users' record alone.

At level info the log now tells for one machine and one job: by which message each incarnation was first shown, until when its lease is reckoned and from what; each change of whether it gets direct commands, with the reason; heartbeats that are not applied (the first at once, the others as a number with first and last); the stops, with the message that carries them; the revision at which a cancellation was read; what the cloud says to a return, and how often. Lines of one kind about one machine are a second apart at least (machine_log.c); none is a warning.

--- a/src/core/autoscaler.c
+++ b/src/core/autoscaler.c
@@ -79,7 +79,7 @@
   if (result != FT_CLOUD_UNANSWERED)
     context->cloud_answered_at = context->now;
   if (call->op == FT_CLOUD_SCALE_IN)
-    ft_cloud_calls_return_done (autoscaler->machine_table, call);
+    ft_cloud_calls_return_done (autoscaler->machine_table, call, result);
   else if (ft_cloud_calls_launch_done (autoscaler->machine_table, &autoscaler->pools, call, result))
     autoscaler->next_autoscale = context->now;
 }
--- a/src/core/cloud_calls.c
+++ b/src/core/cloud_calls.c
@@ -1,5 +1,7 @@
 #include "core/cloud_calls.h"
 
+#include "core/machine_log.h"
+
 void
 ft_cloud_call_free (FtCloudCall *call)
 {
@@ -117,12 +119,13 @@
 }
 
 void
-ft_cloud_calls_return_done (FtMachineTable *table, const FtCloudCall *call)
+ft_cloud_calls_return_done (FtMachineTable *table, const FtCloudCall *call, FtCloudResult result)
 {
   for (guint i = 0; i < call->names->len; i++) {
     FtMachine *machine = ft_machine_table_find (table, g_ptr_array_index (call->names, i));
     if (machine == NULL)
       continue;
+    ft_machine_log_return (machine, result);
     machine->requests.return_in_flight = FALSE;
     machine->requests.return_at = table->context->now + ft_seconds (FT_TERMINATE_RETRY_S);
   }
--- a/src/core/cloud_calls.h
+++ b/src/core/cloud_calls.h
@@ -19,4 +19,4 @@
 
 /* Records that a call to return machines has been answered or has failed. Machines that the caller does not mark as
  * gone are returned again after FT_TERMINATE_RETRY_S. */
-void ft_cloud_calls_return_done (FtMachineTable *table, const FtCloudCall *call);
+void ft_cloud_calls_return_done (FtMachineTable *table, const FtCloudCall *call, FtCloudResult result);
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -98,6 +98,10 @@
 #define FT_USABLE_MARGIN_S 3.0
 /* Seconds after which a direct command without an answer counts as unanswered. */
 #define FT_COMMAND_TIMEOUT_S 2.0
+/* Seconds between two log lines of the same kind about one machine. */
+#define FT_MACHINE_LOG_EVERY_S 1.0
+/* Tasks that a log line about one machine names. */
+#define FT_MACHINE_LOG_TASKS 8
 /* Seconds without a heartbeat, beyond the longest regular gap and the timeout of the worker, after which a machine
  * counts as silent. */
 #define FT_SILENCE_MARGIN_S 2.0
--- a/src/core/direct_commands.c
+++ b/src/core/direct_commands.c
@@ -1,14 +1,20 @@
 #include "core/direct_commands.h"
 
 #include "core/attempt_lifecycle.h"
+#include "core/machine_log.h"
 #include "core/start_copies.h"
 #include "core/worker_commands.h"
 
-static gboolean
-may_send (const FtMachine *machine)
+FtCommandsAllowed
+ft_direct_commands_allowed (const FtMachine *machine)
 {
-  return !machine->requests.command_in_flight && machine->addr != NULL && machine->state == FT_MACHINE_UP
-         && machine->reconciled && machine->incarnation > machine->expired_incarnation;
+  if (machine->addr == NULL)
+    return FT_COMMANDS_NO_ADDRESS;
+  if (machine->state != FT_MACHINE_UP)
+    return FT_COMMANDS_NOT_UP;
+  if (!machine->reconciled)
+    return FT_COMMANDS_UNRECONCILED;
+  return machine->incarnation > machine->expired_incarnation ? FT_COMMANDS_ALLOWED : FT_COMMANDS_EXPIRED;
 }
 
 /* Whether a start of the attempt may be sent in a direct request. A start that was sent in the answer to a heartbeat,
@@ -23,7 +29,7 @@
 static FtDirectRequest *
 request_to (FtMachine *machine)
 {
-  if (!may_send (machine))
+  if (machine->requests.command_in_flight || ft_direct_commands_allowed (machine) != FT_COMMANDS_ALLOWED)
     return NULL;
   guint starts_allowed = ft_start_copies_direct_starts_allowed (machine);
   g_autoptr (GArray) commands = ft_commands_new ();
@@ -41,6 +47,7 @@
       ft_worker_command_add (commands, FT_COMMAND_START, attempt);
     }
   }
+  ft_machine_log_stops (machine, commands, "a direct request");
   return commands->len > 0 ? ft_worker_command_request_new (machine, g_steal_pointer (&commands)) : NULL;
 }
 
--- a/src/core/direct_commands.h
+++ b/src/core/direct_commands.h
@@ -7,6 +7,9 @@
 #include "core/direct_command.h"
 #include "core/machine.h"
 
+/* Returns whether the machine gets direct commands, or why it gets none. */
+FtCommandsAllowed ft_direct_commands_allowed (const FtMachine *machine);
+
 /* Returns the next request with commands for a machine in the queue; new. NULL: no machine in the queue needs one. */
 FtDirectRequest *ft_direct_commands_next (FtMachineQueues *queues);
 
--- a/src/core/heartbeat_answer.c
+++ b/src/core/heartbeat_answer.c
@@ -1,5 +1,6 @@
 #include "core/heartbeat_answer.h"
 
+#include "core/machine_log.h"
 #include "core/start_copies.h"
 #include "core/worker_commands.h"
 
@@ -98,6 +99,7 @@
   /* Stop and forget commands come first, since they make room for the starts. */
   add_stops (commands, machine);
   add_stops_of_listed_tasks (commands, machine, placement->job_table, heartbeat);
+  ft_machine_log_stops (machine, commands, "an answer to a heartbeat");
   if (!with_starts)
     return commands;
   add_forgets (commands, machine);
--- a/src/core/machine.h
+++ b/src/core/machine.h
@@ -91,6 +91,29 @@
   FT_UNUSED_OVERDUE,        /* its last status is too old */
 } FtUnusedReason;
 
+/* Why a machine gets no direct commands. */
+typedef enum {
+  FT_COMMANDS_ALLOWED,      /* it gets direct commands */
+  FT_COMMANDS_NO_ADDRESS,   /* its address is not known */
+  FT_COMMANDS_NOT_UP,       /* it is not in FT_MACHINE_UP */
+  FT_COMMANDS_UNRECONCILED, /* this leader does not know yet what runs on it */
+  FT_COMMANDS_EXPIRED,      /* its incarnation has ended, or its worker lease has run out */
+} FtCommandsAllowed;
+
+/* What has been logged about a machine; changed by the functions of machine_log.h only. Times are in microseconds. */
+typedef struct {
+  FtCommandsAllowed commands;   /* whether the machine gets direct commands, as last logged */
+  gint64 commands_at;           /* when that was determined; 0: not yet */
+  gboolean commands_stopped;    /* a line has told that the machine gets none */
+  FtHeartbeatOutcome unapplied; /* why the last heartbeats were not applied */
+  guint unapplied_count;        /* heartbeats in a row that were not applied; 0: the last one was */
+  gint64 unapplied_since;       /* arrival of the first of them */
+  gint64 unapplied_last_at;     /* arrival of the last of them */
+  gint64 unapplied_at;          /* when a line about such heartbeats was last logged */
+  gint64 stops_at;              /* when stops were last logged */
+  guint returns_failed;         /* calls to return the machine that have failed */
+} FtMachineLog;
+
 struct _FtMachine {
   FtCoreContext *context;  /* borrowed */
   FtMachineQueues *queues; /* borrowed */
@@ -114,6 +137,7 @@
   gboolean listed_running;       /* the cloud's list showed the machine as running before its first heartbeat */
   FtMachineRequests requests;
   FtMachineFitness fitness;
+  FtMachineLog log;
   double cpus, gpus, memory_gb; /* reserved for attempts that are not known to be over */
   GHashTable *attempts;         /* set of FtAttempt, owned */
   GHashTable *images;           /* names of the images that the machine is known to have cached */
--- a/src/core/machine_eviction.c
+++ b/src/core/machine_eviction.c
@@ -26,15 +26,16 @@
 
 /* ---- cancelled work ---- */
 
-static gboolean
-holds_cancelled (const FtMachine *machine)
+gboolean
+ft_machine_eviction_holds_cancelled (const FtMachine *machine, gint64 before)
 {
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, machine->attempts);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     const FtAttempt *attempt = value;
-    if (attempt->reserved && attempt->job != NULL && attempt->job->state == FT_JOB_CANCELLING)
+    if (attempt->reserved && attempt->job != NULL && attempt->job->state == FT_JOB_CANCELLING
+        && attempt->job->cancelled_at <= before)
       return TRUE;
   }
   return FALSE;
@@ -90,7 +91,7 @@
 gboolean
 ft_machine_eviction_may_hold_cancelled (const FtMachineEviction *eviction, const FtMachine *machine)
 {
-  return holds_cancelled (machine)
+  return ft_machine_eviction_holds_cancelled (machine, G_MAXINT64)
          || (!machine->reconciled && is_cancellation_urgent (eviction->context, eviction->unseen_cancellation_us))
          || (eviction->store_unreachable && !ft_machine_idle (machine));
 }
--- a/src/core/machine_eviction.h
+++ b/src/core/machine_eviction.h
@@ -27,6 +27,9 @@
   gboolean store_unreachable;    /* cancellations could not be read from the store for too long */
 } FtMachineEviction;
 
+/* Whether the machine may run a task whose job was cancelled at `before`, in microseconds, or earlier. */
+gboolean ft_machine_eviction_holds_cancelled (const FtMachine *machine, gint64 before);
+
 /* Terminates each machine that has a reason to be terminated now. */
 void ft_machine_eviction_tick (FtMachineEviction *eviction);
 
--- a/src/core/machine_watch.c
+++ b/src/core/machine_watch.c
@@ -1,6 +1,7 @@
 #include "core/machine_watch.h"
 
 #include "core/direct_commands.h"
+#include "core/machine_log.h"
 #include "core/probes.h"
 #include "core/zone.h"
 
@@ -13,8 +14,11 @@
   if (machine->incarnation <= machine->expired_incarnation
       || !ft_reachability_lease_over (&machine->reachability, machine->context))
     return;
-  g_message ("machine %s: incarnation %" G_GUINT64_FORMAT " expired (its worker lease has run out)", machine->name,
-             machine->incarnation);
+  g_message ("machine %s: incarnation %" G_GUINT64_FORMAT
+             " expired (its worker lease has run out; reckoned from %s, %.1f s "
+             "ago)",
+             machine->name, machine->incarnation, ft_reachability_lease_event (&machine->reachability),
+             (double) (machine->context->now - machine->reachability.lease_from) / FT_SECOND);
   machine->expired_incarnation = machine->incarnation;
 }
 
@@ -34,6 +38,7 @@
     return; /* a machine that is gone gets no requests */
   check_lease (machine);
   check_silence (machine);
+  ft_machine_log_commands_allowed (machine, ft_direct_commands_allowed (machine));
   if (ft_direct_commands_wanted (machine))
     ft_machine_queue_direct_request (machine);
   if (ft_machine_wants_probe (machine))
--- a/src/core/reachability.c
+++ b/src/core/reachability.c
@@ -1,11 +1,21 @@
 #include "core/reachability.h"
 
+/* Reckons the worker lease from `at`, unless it is reckoned from a later time already. */
+static void
+extend_lease (FtReachability *reachability, FtLeaseEvent event, gint64 at)
+{
+  if (at < reachability->lease_from)
+    return;
+  reachability->lease_from = at;
+  reachability->lease_event = event;
+}
+
 /* ---- events ---- */
 
 void
 ft_reachability_registered (FtReachability *reachability, gint64 answered_until, gint64 now)
 {
-  reachability->lease_from = answered_until;
+  extend_lease (reachability, FT_LEASE_FROM_FORMER_LEADER, answered_until);
   reachability->last_status_at = now;
 }
 
@@ -15,14 +25,14 @@
   reachability->last_status_at = reachability->last_heartbeat_at = now;
   reachability->probe_at = now + ft_seconds (FT_PROBE_FIRST_S);
   /* A heartbeat of the machine may have been answered while the registry was being read. */
-  reachability->lease_from = MAX (reachability->lease_from, now);
+  extend_lease (reachability, FT_LEASE_FROM_FORMER_LEADER, now);
 }
 
 void
 ft_reachability_new_incarnation (FtReachability *reachability, gint64 now)
 {
   reachability->answered = 0;
-  reachability->lease_from = MAX (reachability->lease_from, now);
+  extend_lease (reachability, FT_LEASE_FROM_FIRST_STATUS, now);
 }
 
 void
@@ -52,6 +62,7 @@
 ft_reachability_answer_sent (FtReachability *reachability, gboolean reconciled, gint64 now)
 {
   reachability->lease_from = now;
+  reachability->lease_event = FT_LEASE_FROM_ANSWER;
   if (!reconciled)
     reachability->probe_at = MAX (reachability->probe_at, now + ft_seconds (FT_PROBE_FIRST_S));
 }
@@ -158,6 +169,22 @@
   return reachability->lease_from > 0 && context->now > reachability->lease_from + ft_reachability_lease_us (context);
 }
 
+const char *
+ft_reachability_lease_event (const FtReachability *reachability)
+{
+  switch (reachability->lease_event) {
+  case FT_LEASE_FROM_NOTHING:
+    break;
+  case FT_LEASE_FROM_ANSWER:
+    return "the last answer";
+  case FT_LEASE_FROM_FIRST_STATUS:
+    return "its first status";
+  case FT_LEASE_FROM_FORMER_LEADER:
+    return "the time until which a former leader may have answered";
+  }
+  return "no event";
+}
+
 gint64
 ft_reachability_lease_us (const FtCoreContext *context)
 {
--- a/src/core/reachability.h
+++ b/src/core/reachability.h
@@ -12,6 +12,14 @@
 #pragma once
 #include "core/context.h"
 
+/* The event from which a worker lease is reckoned. */
+typedef enum {
+  FT_LEASE_FROM_NOTHING,       /* there is none: no heartbeat was answered */
+  FT_LEASE_FROM_ANSWER,        /* this leader has answered a heartbeat */
+  FT_LEASE_FROM_FIRST_STATUS,  /* the first status of the incarnation has arrived */
+  FT_LEASE_FROM_FORMER_LEADER, /* a former leader may have answered a heartbeat */
+} FtLeaseEvent;
+
 typedef struct {
   /* From the machine to this leader. */
   gint64 last_status_at;    /* arrival of the last status, in a heartbeat or in the answer to a command */
@@ -21,9 +29,10 @@
   /* From this leader to the machine. */
   gboolean acknowledged_token; /* a status has shown our token; a status with a lower token is a late copy */
   guint64 answered;            /* highest heartbeat sequence of the current incarnation that has been answered */
-  gint64 lease_from;    /* from when the worker lease is reckoned, never too early: the last answer to a heartbeat,
-                           by this leader or a former one, or the first status of the incarnation; 0: neither */
-  guint unacknowledged; /* heartbeats in a row that do not acknowledge our answers */
+  gint64 lease_from;        /* from when the worker lease is reckoned, never too early: the last answer to a heartbeat,
+                               by this leader or a former one, or the first status of the incarnation; 0: neither */
+  FtLeaseEvent lease_event; /* what happened at `lease_from` */
+  guint unacknowledged;     /* heartbeats in a row that do not acknowledge our answers */
   gint64 not_receiving_since; /* since when the machine does not receive our answers; 0: it seems to receive them */
 } FtReachability;
 
@@ -105,6 +114,9 @@
 /* Whether the worker lease has run out. The worker has then stopped its tasks, unless it hangs. */
 gboolean ft_reachability_lease_over (const FtReachability *reachability, const FtCoreContext *context);
 
+/* Returns the event from which the worker lease is reckoned, as a text for the log. */
+const char *ft_reachability_lease_event (const FtReachability *reachability);
+
 /* Returns the longest time for which a worker keeps its tasks after its last answered heartbeat, in microseconds. */
 gint64 ft_reachability_lease_us (const FtCoreContext *context);
 
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -66,9 +66,9 @@
 FtJobProgress ft_scheduler_job_progress (const FtScheduler *scheduler, const char *ref);
 
 /* ---- workers ---- */
-/* A worker has sent a heartbeat to this leader. The caller answers it with the commands of ft_scheduler_answer().
- * Returns FALSE if the heartbeat shows a higher token: the caller must step down. */
-gboolean ft_scheduler_heartbeat (FtScheduler *scheduler, const FtWorkerHeartbeat *heartbeat, gint64 now);
+/* A worker has sent a heartbeat to this leader. The caller answers it as ft_scheduler_answer() says, and steps down if
+ * the function returns FT_HEARTBEAT_SUPERSEDED. */
+FtHeartbeatOutcome ft_scheduler_heartbeat (FtScheduler *scheduler, const FtWorkerHeartbeat *heartbeat, gint64 now);
 /* Sets whether tasks may be started, that is, whether the lease is valid. The value holds until the next call of this
  * function, ft_scheduler_place() or ft_scheduler_tick(). */
 void ft_scheduler_set_may_start (FtScheduler *scheduler, gboolean may_start);
@@ -160,8 +160,10 @@
   guint up;          /* machines whose heartbeats arrive */
   guint unused;      /* of those, machines that may get no new work */
   guint quarantined; /* of those, machines that are quarantined */
+  guint
+      overdue; /* machines in any state that may still run tasks whose jobs were cancelled over half of cancel_s ago */
 } FtMachineCounts;
-/* Counts the machines that are up. */
+/* Counts the machines by what operators have to know of them. */
 FtMachineCounts ft_scheduler_count_machines (const FtScheduler *scheduler);
 /* The strings are borrowed. `unused_why`: why the machine gets no new tasks; empty: it may get some. */
 typedef void (*FtMachineVisitor) (const char *name, const char *state, const char *type, const char *zone,
--- a/src/core/scheduler_operators.c
+++ b/src/core/scheduler_operators.c
@@ -1,5 +1,6 @@
 /* The state of the scheduler as operators and the peers see it, and the drains that operators set. */
 #include "core/explain.h"
+#include "core/machine_eviction.h"
 #include "core/scheduler_private.h"
 
 void
@@ -51,11 +52,14 @@
 ft_scheduler_count_machines (const FtScheduler *scheduler)
 {
   FtMachineCounts counts = { 0 };
+  const FtCoreContext *context = &scheduler->context;
+  gint64 overdue_before = context->now - ft_seconds (FT_CANCELLED_SCALE_IN_SHARE * context->settings->cancel_s);
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, scheduler->machine_table.machines);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     const FtMachine *machine = value;
+    counts.overdue += ft_machine_eviction_holds_cancelled (machine, overdue_before);
     if (machine->state != FT_MACHINE_UP)
       continue;
     counts.up++;
--- a/src/core/scheduler_workers.c
+++ b/src/core/scheduler_workers.c
@@ -6,30 +6,34 @@
 
 /* ---- workers ---- */
 
-static void
+static FtHeartbeatOutcome
 apply_status (FtScheduler *scheduler, FtMachine *machine, const FtWorkerHeartbeat *heartbeat, gboolean is_heartbeat)
 {
-  if (!ft_worker_heartbeats_apply (&scheduler->worker_heartbeats, machine, heartbeat, is_heartbeat))
-    return;
+  FtHeartbeatOutcome outcome
+      = ft_worker_heartbeats_apply (&scheduler->worker_heartbeats, machine, heartbeat, is_heartbeat);
+  if (outcome != FT_HEARTBEAT_APPLIED)
+    return outcome;
   ft_registry_add (&scheduler->registry, machine);
   if (machine->reconciled)
     ft_recovery_machine_reconciled (&scheduler->recovery, machine);
+  return outcome;
 }
 
-gboolean
+FtHeartbeatOutcome
 ft_scheduler_heartbeat (FtScheduler *scheduler, const FtWorkerHeartbeat *heartbeat, gint64 now)
 {
   scheduler->context.now = now;
   if (heartbeat->token > scheduler->context.token)
-    return FALSE;
+    return FT_HEARTBEAT_SUPERSEDED;
   /* Until the registry has been read, the tasks that a machine may hold are unknown. */
-  if (ft_recovery_is_loaded (&scheduler->recovery)
-      && !ft_machine_table_is_gone (&scheduler->machine_table, heartbeat->machine)) {
-    FtMachine *machine = ft_worker_heartbeats_machine (&scheduler->worker_heartbeats, heartbeat);
-    apply_status (scheduler, machine, heartbeat, TRUE);
-  }
+  if (!ft_recovery_is_loaded (&scheduler->recovery))
+    return FT_HEARTBEAT_NOT_LOADED;
+  if (ft_machine_table_is_gone (&scheduler->machine_table, heartbeat->machine))
+    return FT_HEARTBEAT_MACHINE_GONE;
+  FtMachine *machine = ft_worker_heartbeats_machine (&scheduler->worker_heartbeats, heartbeat);
+  FtHeartbeatOutcome outcome = apply_status (scheduler, machine, heartbeat, TRUE);
   ft_recovery_tick (&scheduler->recovery);
-  return TRUE;
+  return outcome;
 }
 
 void
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -156,6 +156,18 @@
   GArray *tasks;       /* FtTaskStatus, owned: the worker's task list */
 } FtWorkerHeartbeat;
 
+/* What becomes of a worker's heartbeat. */
+typedef enum {
+  FT_HEARTBEAT_SUPERSEDED,          /* it shows a higher token than this leader's: the leader must step down */
+  FT_HEARTBEAT_APPLIED,             /* its status has been applied */
+  FT_HEARTBEAT_OLDER,               /* a newer status of its incarnation has been applied */
+  FT_HEARTBEAT_FORMER_INCARNATION,  /* a later incarnation of its worker has reported */
+  FT_HEARTBEAT_EXPIRED_INCARNATION, /* its incarnation has ended, or its worker lease has run out */
+  FT_HEARTBEAT_FORMER_TOKEN,        /* its worker has shown a higher token of this leader before */
+  FT_HEARTBEAT_MACHINE_GONE,        /* its machine has been returned or has failed */
+  FT_HEARTBEAT_NOT_LOADED,          /* this leader has not read the registry yet */
+} FtHeartbeatOutcome;
+
 /* Returns an empty heartbeat without an interruption notice. */
 FtWorkerHeartbeat *ft_worker_heartbeat_new (void);
 /* Frees a heartbeat with its task list; NULL is ignored. */
--- a/src/core/worker_heartbeats.c
+++ b/src/core/worker_heartbeats.c
@@ -3,6 +3,7 @@
 #include "core/attempt_lifecycle.h"
 #include "core/attempt_reports.h"
 #include "core/interruption_notice.h"
+#include "core/machine_log.h"
 
 /* ---- identity and incarnation ---- */
 
@@ -22,26 +23,34 @@
   return machine;
 }
 
-/* Whether the status is older than the machine's newest one, or is a copy from before the worker saw the highest of our
- * tokens that it has shown. A copy may arrive more than a lease time after it was sent. */
-static gboolean
-is_outdated (const FtMachine *machine, const FtWorkerHeartbeat *heartbeat)
+/* Returns FT_HEARTBEAT_APPLIED if the status is to be applied. Otherwise it is older than the machine's newest one, or
+ * is a copy from before the worker saw the highest of our tokens that it has shown. A copy may arrive more than a lease
+ * time after it was sent. */
+static FtHeartbeatOutcome
+examine (const FtMachine *machine, const FtWorkerHeartbeat *heartbeat)
 {
-  return heartbeat->incarnation <= machine->expired_incarnation || heartbeat->incarnation < machine->incarnation
-         || (heartbeat->incarnation == machine->incarnation && heartbeat->sequence <= machine->sequence)
-         || heartbeat->token < machine->worker_token.shown;
+  if (heartbeat->incarnation < machine->incarnation)
+    return FT_HEARTBEAT_FORMER_INCARNATION;
+  if (heartbeat->incarnation <= machine->expired_incarnation)
+    return FT_HEARTBEAT_EXPIRED_INCARNATION;
+  if (heartbeat->incarnation == machine->incarnation && heartbeat->sequence <= machine->sequence)
+    return FT_HEARTBEAT_OLDER;
+  return heartbeat->token < machine->worker_token.shown ? FT_HEARTBEAT_FORMER_TOKEN : FT_HEARTBEAT_APPLIED;
 }
 
 static void
-begin_incarnation (FtMachine *machine, guint64 incarnation)
+begin_incarnation (FtMachine *machine, guint64 incarnation, gboolean is_heartbeat)
 {
-  if (machine->incarnation != 0) {
-    g_message ("machine %s: new incarnation %" G_GUINT64_FORMAT " (its agent has restarted)", machine->name,
-               incarnation);
+  FtReachability *reachability = &machine->reachability;
+  gint64 now = machine->context->now;
+  if (machine->incarnation != 0)
     ft_attempt_end_incarnation (machine);
-  }
+  ft_reachability_new_incarnation (reachability, now);
+  g_message ("machine %s: %s %" G_GUINT64_FORMAT " (first shown by %s; its lease is reckoned until %.1f s from now)",
+             machine->name, machine->incarnation != 0 ? "new incarnation" : "incarnation", incarnation,
+             is_heartbeat ? "a heartbeat" : "the answer to a command",
+             (double) (reachability->lease_from + ft_reachability_lease_us (machine->context) - now) / FT_SECOND);
   machine->incarnation = incarnation;
-  ft_reachability_new_incarnation (&machine->reachability, machine->context->now);
   machine->fitness.start_unanswered = FALSE;
 }
 
@@ -105,15 +114,18 @@
   ft_attempt_reports_apply (heartbeats->machine_table, heartbeats->job_table, machine, heartbeat, is_heartbeat);
 }
 
-gboolean
+FtHeartbeatOutcome
 ft_worker_heartbeats_apply (FtWorkerHeartbeats *heartbeats, FtMachine *machine, const FtWorkerHeartbeat *heartbeat,
                             gboolean is_heartbeat)
 {
   FtCoreContext *context = heartbeats->context;
-  if (is_outdated (machine, heartbeat))
-    return FALSE;
+  FtHeartbeatOutcome outcome = examine (machine, heartbeat);
+  if (is_heartbeat)
+    ft_machine_log_heartbeat (machine, outcome);
+  if (outcome != FT_HEARTBEAT_APPLIED)
+    return outcome;
   if (heartbeat->incarnation > machine->incarnation)
-    begin_incarnation (machine, heartbeat->incarnation);
+    begin_incarnation (machine, heartbeat->incarnation, is_heartbeat);
   machine->sequence = heartbeat->sequence;
   record_contact (machine, is_heartbeat);
   if (heartbeat->token >= context->first_worker_token)
@@ -124,5 +136,5 @@
   } else {
     ft_reachability_command_arrived (&machine->reachability);
   }
-  return TRUE;
+  return FT_HEARTBEAT_APPLIED;
 }
--- a/src/core/worker_heartbeats.h
+++ b/src/core/worker_heartbeats.h
@@ -20,8 +20,9 @@
  * registry must have been read. */
 FtMachine *ft_worker_heartbeats_machine (FtWorkerHeartbeats *heartbeats, const FtWorkerHeartbeat *heartbeat);
 
-/* Applies a status of the machine if it is the newest; returns FALSE if it is not. `is_heartbeat`: the status came in a
- * heartbeat, not in the answer to a direct request. If the function returns TRUE, the caller adds the machine to the
- * registry, and notifies the recovery if the machine is reconciled. */
-gboolean ft_worker_heartbeats_apply (FtWorkerHeartbeats *heartbeats, FtMachine *machine,
-                                     const FtWorkerHeartbeat *heartbeat, gboolean is_heartbeat);
+/* Applies a status of the machine if it is the newest. `is_heartbeat`: the status came in a heartbeat, not in the
+ * answer to a direct request. If the function returns FT_HEARTBEAT_APPLIED, the caller adds the machine to the
+ * registry, and notifies the recovery if the machine is reconciled. Any other outcome is why the status has changed
+ * nothing. */
+FtHeartbeatOutcome ft_worker_heartbeats_apply (FtWorkerHeartbeats *heartbeats, FtMachine *machine,
+                                               const FtWorkerHeartbeat *heartbeat, gboolean is_heartbeat);
--- a/src/net/admin_status.c
+++ b/src/net/admin_status.c
@@ -216,6 +216,7 @@
   json_object_set_new (counters, "up_machines", json_integer (machines.up));
   json_object_set_new (counters, "unused_machines", json_integer (machines.unused));
   json_object_set_new (counters, "quarantined_machines", json_integer (machines.quarantined));
+  json_object_set_new (counters, "overdue_machines", json_integer (machines.overdue));
 }
 
 void
--- a/src/net/leader_recovery.c
+++ b/src/net/leader_recovery.c
@@ -67,8 +67,9 @@
   ft_leader_rows_note_read_complete (last_page->base.owner);
   ft_metrics_record_latency (node->metrics, FT_LATENCY_RECOVERY, g_get_monotonic_time () - term->began_at);
   last_page->recovered (last_page->recovered_data);
-  g_message ("node %s: leader under fencing token %" G_GUINT64_FORMAT ", recovered its state from the key-value store",
-             node->config->member, ft_lease_token (node->lease));
+  g_message ("node %s: leader under fencing token %" G_GUINT64_FORMAT
+             ", recovered its state from the key-value store (open jobs as of revision %" G_GUINT64_FORMAT ")",
+             node->config->member, ft_lease_token (node->lease), ft_leader_rows_known_revision (last_page->base.owner));
 }
 
 static void
--- a/src/net/metrics.c
+++ b/src/net/metrics.c
@@ -5,11 +5,31 @@
 
 #include "core/constants.h"
 
-static const char *const counter_names[FT_COUNTERS]
-    = { "submissions_accepted", "submissions_refused", "users_told_unavailable", "polls",           "withdrawals",
-        "cancelled_with_need",  "reports_answered",    "reports_redirected",     "takeovers",       "step_downs",
-        "direct_unanswered",    "batches_committed",   "batches_uncertain",      "batches_invalid", "malformed_workers",
-        "malformed_cloud",      "malformed_state",     "malformed_peers" };
+static const char *const counter_names[FT_COUNTERS] = {
+  [FT_COUNT_ACCEPTED] = "submissions_accepted",
+  [FT_COUNT_REFUSED] = "submissions_refused",
+  [FT_COUNT_UNAVAILABLE] = "users_told_unavailable",
+  [FT_COUNT_POLLS] = "polls",
+  [FT_COUNT_CANCELLED] = "withdrawals",
+  [FT_COUNT_CANCELLED_BY_DEPENDENCY] = "cancelled_with_need",
+  [FT_COUNT_HEARTBEATS] = "reports_answered",
+  [FT_COUNT_HEARTBEATS_OLDER] = "reports_older",
+  [FT_COUNT_HEARTBEATS_FORMER] = "reports_former_session",
+  [FT_COUNT_HEARTBEATS_EXPIRED] = "reports_session_over",
+  [FT_COUNT_HEARTBEATS_FORMER_TOKEN] = "reports_former_token",
+  [FT_COUNT_HEARTBEATS_GONE] = "reports_machine_gone",
+  [FT_COUNT_REDIRECTS] = "reports_redirected",
+  [FT_COUNT_TAKEOVERS] = "takeovers",
+  [FT_COUNT_STEP_DOWNS] = "step_downs",
+  [FT_COUNT_DIRECT_UNANSWERED] = "direct_unanswered",
+  [FT_COUNT_BATCHES] = "batches_committed",
+  [FT_COUNT_BATCHES_UNCERTAIN] = "batches_uncertain",
+  [FT_COUNT_BATCHES_INVALID] = "batches_invalid",
+  [FT_COUNT_MALFORMED_WORKERS] = "malformed_workers",
+  [FT_COUNT_MALFORMED_CLOUD] = "malformed_cloud",
+  [FT_COUNT_MALFORMED_STORE] = "malformed_state",
+  [FT_COUNT_MALFORMED_PEERS] = "malformed_peers",
+};
 static const char *const latency_names[FT_LATENCIES] = { "submit_ms", "batch_ms", "direct_ms", "recovery_ms" };
 
 struct _FtMetrics {
--- a/src/net/metrics.h
+++ b/src/net/metrics.h
@@ -21,6 +21,12 @@
  * @FT_COUNT_CANCELLED: jobs cancelled by their users
  * @FT_COUNT_CANCELLED_BY_DEPENDENCY: jobs cancelled on a poll or submission because an ancestor is cancelled
  * @FT_COUNT_HEARTBEATS: worker heartbeats that this controller has handled as the leader
+ * @FT_COUNT_HEARTBEATS_OLDER: worker heartbeats that were answered but not applied, since a newer status of
+ *   the same incarnation has been
+ * @FT_COUNT_HEARTBEATS_FORMER: worker heartbeats refused, since a later incarnation of the worker has reported
+ * @FT_COUNT_HEARTBEATS_EXPIRED: worker heartbeats refused, since their incarnation is over
+ * @FT_COUNT_HEARTBEATS_FORMER_TOKEN: worker heartbeats refused, since the worker has shown a higher token before
+ * @FT_COUNT_HEARTBEATS_GONE: worker heartbeats refused, since their machine is gone
  * @FT_COUNT_REDIRECTS: worker heartbeats answered with a redirect to the leader
  * @FT_COUNT_TAKEOVERS: terms as leader that this controller has begun
  * @FT_COUNT_STEP_DOWNS: terms that ended because another controller leads
@@ -47,6 +53,11 @@
   FT_COUNT_CANCELLED,
   FT_COUNT_CANCELLED_BY_DEPENDENCY,
   FT_COUNT_HEARTBEATS,
+  FT_COUNT_HEARTBEATS_OLDER,
+  FT_COUNT_HEARTBEATS_FORMER,
+  FT_COUNT_HEARTBEATS_EXPIRED,
+  FT_COUNT_HEARTBEATS_FORMER_TOKEN,
+  FT_COUNT_HEARTBEATS_GONE,
   FT_COUNT_REDIRECTS,
   FT_COUNT_TAKEOVERS,
   FT_COUNT_STEP_DOWNS,
--- a/src/net/worker_endpoint.c
+++ b/src/net/worker_endpoint.c
@@ -40,6 +40,21 @@
   return ft_leader_scheduler (node->leader) != NULL && ft_lease_may_answer (node->lease, now);
 }
 
+/* Counts a heartbeat whose status changes nothing, by the reason. */
+static void
+count_outcome (const FtNode *node, FtHeartbeatOutcome outcome)
+{
+  static const FtCounter counters[] = {
+    [FT_HEARTBEAT_OLDER] = FT_COUNT_HEARTBEATS_OLDER,
+    [FT_HEARTBEAT_FORMER_INCARNATION] = FT_COUNT_HEARTBEATS_FORMER,
+    [FT_HEARTBEAT_EXPIRED_INCARNATION] = FT_COUNT_HEARTBEATS_EXPIRED,
+    [FT_HEARTBEAT_FORMER_TOKEN] = FT_COUNT_HEARTBEATS_FORMER_TOKEN,
+    [FT_HEARTBEAT_MACHINE_GONE] = FT_COUNT_HEARTBEATS_GONE,
+  };
+  if (outcome >= FT_HEARTBEAT_OLDER && outcome <= FT_HEARTBEAT_MACHINE_GONE)
+    ft_metrics_count (node->metrics, counters[outcome]);
+}
+
 /* Answers a heartbeat as of the current time instead of its arrival, since it may have waited in the queue. */
 static void
 answer (FtHttpRequest *request, gpointer data)
@@ -60,7 +75,9 @@
   }
   FtScheduler *scheduler = ft_leader_scheduler (node->leader);
   ft_metrics_count (node->metrics, FT_COUNT_HEARTBEATS);
-  if (!ft_scheduler_heartbeat (scheduler, heartbeat, now)) {
+  FtHeartbeatOutcome outcome = ft_scheduler_heartbeat (scheduler, heartbeat, now);
+  count_outcome (node, outcome);
+  if (outcome == FT_HEARTBEAT_SUPERSEDED) {
     ft_leadership_step_down (node->leadership, "a worker has seen a higher fencing token");
     redirect (node, request);
     return;
--- a/src/wire/scheduler_rows.c
+++ b/src/wire/scheduler_rows.c
@@ -7,9 +7,11 @@
 #include "wire/store_keys.h"
 
 static void
-apply_cancellation (FtScheduler *scheduler, const char *ref, const json_t *value, gint64 now, gint64 wall_ms)
+apply_cancellation (FtScheduler *scheduler, const char *ref, const FtRow *row, gint64 now, gint64 wall_ms)
 {
-  gint64 age_us = MAX (0, wall_ms - ft_row_cancellation_time (value)) * FT_MILLISECOND;
+  gint64 age_us = MAX (0, wall_ms - ft_row_cancellation_time (row->value)) * FT_MILLISECOND;
+  g_message ("job %s: cancellation read, committed at revision %" G_GUINT64_FORMAT " %.1f s ago", ref, row->revision,
+             (double) age_us / FT_SECOND);
   ft_scheduler_job_cancelled (scheduler, ref, age_us, now);
 }
 
@@ -22,7 +24,7 @@
   if (ref == NULL || row->value == NULL)
     return TRUE;
   if (cancelled) {
-    apply_cancellation (scheduler, ref, row->value, now, wall_ms);
+    apply_cancellation (scheduler, ref, row, now, wall_ms);
     return TRUE;
   }
   FtJobSpec *spec = ft_row_open_parse_full (ref, row->value, error);
--- a/tests/sim/node_workers.cpp
+++ b/tests/sim/node_workers.cpp
@@ -27,7 +27,7 @@
       answer.leader = holder[strlen (holder) - 1] - '0';
     return answer;
   }
-  if (!ft_scheduler_heartbeat (scheduler_.get (), heartbeat, now)) {
+  if (ft_scheduler_heartbeat (scheduler_.get (), heartbeat, now) == FT_HEARTBEAT_SUPERSEDED) {
     step_down ();
     return answer;
   }
--- a/tests/test_program_dependencies.cpp
+++ b/tests/test_program_dependencies.cpp
@@ -150,8 +150,9 @@
   const json_t *counters = json_object_get (metrics->body, "counters");
   EXPECT_EQ (json_integer_value (json_object_get (counters, "open_jobs")), 2);
   EXPECT_EQ (json_integer_value (json_object_get (counters, "waiting_jobs")), 1);
-  for (const char *name : { "up_machines", "unused_machines", "quarantined_machines", "state_queue_cancel",
-                            "state_queue_commit_longest", "state_queue_read_refused", "polls_waiting" })
+  for (const char *name : { "up_machines", "unused_machines", "quarantined_machines", "overdue_machines",
+                            "reports_older", "reports_session_over", "state_queue_cancel", "state_queue_commit_longest",
+                            "state_queue_read_refused", "polls_waiting" })
     EXPECT_TRUE (json_is_integer (json_object_get (counters, name))) << name;
 }
 
