An answer does not shorten the lease that a former leader may still renew

After a failover the leader reckons a worker's lease until the end of the former leader's answer grace period, since that leader may answer till then. Its own first answer set the time back to now. If that answer is lost, the worker has not seen the new token, and the former leader's next answer renews a lease that the new one holds to be over earlier.

Change: the time from which a lease is reckoned only moves forward. Found by reading all places that set it; not seen on any record. ReachabilityModule.AnswerDoesNotShortenALeaseThatAFormerLeaderMayRenewLater failed before and passes.

--- a/src/core/reachability.c
+++ b/src/core/reachability.c
@@ -61,8 +61,7 @@
 void
 ft_reachability_answer_sent (FtReachability *reachability, gboolean reconciled, gint64 now)
 {
-  reachability->lease_from = now;
-  reachability->lease_event = FT_LEASE_FROM_ANSWER;
+  extend_lease (reachability, FT_LEASE_FROM_ANSWER, now);
   if (!reconciled)
     reachability->probe_at = MAX (reachability->probe_at, now + ft_seconds (FT_PROBE_FIRST_S));
 }
--- a/tests/test_module_reachability.cpp
+++ b/tests/test_module_reachability.cpp
@@ -136,6 +136,15 @@
   EXPECT_TRUE (ft_reachability_lease_over (&machine, &context));
 }
 
+// Guards against a lease that is held to be over too early: the answer may not arrive, and until the worker has seen the
+// new token a former leader may renew its lease.
+TEST_F (ReachabilityModule, AnswerDoesNotShortenALeaseThatAFormerLeaderMayRenewLater)
+{
+  ft_reachability_registered (&machine, 118 * kS, 100 * kS);
+  ft_reachability_answer_sent (&machine, FALSE, 101 * kS);
+  EXPECT_EQ (machine.lease_from, 118 * kS);
+}
+
 TEST_F (ReachabilityModule, LeaseOfANewIncarnationRunsFromItsFirstStatus)
 {
   ft_reachability_answer_sent (&machine, TRUE, 100 * kS);
