Sound submissions are accepted in any spelling: whole numbers as decimals, unknown fields of any depth

What users saw on services like this one: a sound submission was refused for its spelling. Here two spellings got 400: a count written as a decimal ("pieces": 4.0), and a submission with an unknown field that is nested deeper than 16, although the receiver must ignore fields that it does not know.

Cause: a count had to be an integer of the encoding, not a whole number; and the depth at which the decoder stops keeping values counted as malformed.

Change: ft_field_count() takes a decimal number that is whole and exact. What is nested deeper than any known field is read over, and null stands for it; it must be well-formed all the same, and no depth costs more than eight bytes a level.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -394,9 +394,11 @@
 /* ---- messages ---- */
 /* Largest amount that is accepted in a field, far above the size of any machine and any run time. */
 #define FT_AMOUNT_MAX 1e9
+/* Largest number up to which a decimal number tells all whole numbers apart: 2^53. */
+#define FT_EXACT_REAL_MAX 9007199254740992.0
 /* Largest request body in bytes (protocol). */
 #define FT_BODY_MAX 65536
-/* Deepest nesting that is accepted in a message. */
+/* Deepest nesting of a value that is kept of a message; no known field is nested as deep. */
 #define FT_NESTING_MAX 16
 /* Shortest time in seconds between two log lines on malformed messages of the same source: one broken worker must
  * not fill the log. */
--- a/src/wire/cbor.c
+++ b/src/wire/cbor.c
@@ -26,6 +26,8 @@
   Frame stack[FT_NESTING_MAX];
   int depth;       /* number of frames in use */
   GString *text;   /* the joined chunks of a text of indefinite length; NULL: no such text is being decoded */
+  GArray *skipped; /* guint64: the items left in each container that is nested too deep, outermost first; NULL: none is
+                      being skipped */
   gboolean failed; /* the input is not valid */
 } Builder;
 
@@ -85,10 +87,69 @@
     frame_put (frame, value);
 }
 
+/* ---- values that are nested too deep for any known field: they are read over, and null stands for them ---- */
+
+static guint64 *
+innermost_skipped (const Builder *builder)
+{
+  return &g_array_index (builder->skipped, guint64, builder->skipped->len - 1);
+}
+
+/* Ends the innermost skipped container, and each one around it of which it was the last item. */
+static void
+end_skipped (Builder *builder)
+{
+  do
+    g_array_set_size (builder->skipped, builder->skipped->len - 1);
+  while (builder->skipped->len > 0 && *innermost_skipped (builder) != INDEFINITE
+         && --*innermost_skipped (builder) == 0);
+  if (builder->skipped->len > 0)
+    return;
+  g_clear_pointer (&builder->skipped, g_array_unref);
+  builder_close_full (builder);
+}
+
+/* Reads over an item of the innermost skipped container. Takes the reference to `value`. */
+static void
+skip_value (Builder *builder, json_t *value)
+{
+  json_decref (value);
+  if (builder->text != NULL)
+    builder->failed = TRUE;
+  else if (*innermost_skipped (builder) != INDEFINITE && --*innermost_skipped (builder) == 0)
+    end_skipped (builder);
+}
+
+/* Begins to read over an array or a map. Takes the reference to `node`. */
+static void
+skip_container (Builder *builder, json_t *node, guint64 items)
+{
+  gboolean is_map = json_is_object (node);
+  json_decref (node);
+  if (builder->skipped == NULL) {
+    builder_put (builder, json_null ());
+    builder->skipped = g_array_new (FALSE, FALSE, sizeof (guint64));
+  }
+  if (builder->text != NULL || (is_map && items != INDEFINITE && items > G_MAXINT64)) {
+    builder->failed = TRUE;
+    return;
+  }
+  guint64 left = is_map && items != INDEFINITE ? 2 * items : items;
+  g_array_append_val (builder->skipped, left);
+  if (left == 0)
+    end_skipped (builder);
+}
+
+/* ---- items ---- */
+
 /* Adds a value that is complete. */
 static void
 builder_add (Builder *builder, json_t *value)
 {
+  if (builder->skipped != NULL) {
+    skip_value (builder, value);
+    return;
+  }
   builder_put (builder, value);
   builder_close_full (builder);
 }
@@ -97,9 +158,8 @@
 static void
 builder_open (Builder *builder, json_t *node, guint64 items)
 {
-  if (builder->failed || builder->depth == FT_NESTING_MAX) {
-    builder->failed = TRUE;
-    json_decref (node);
+  if (builder->skipped != NULL || builder->depth == FT_NESTING_MAX) {
+    skip_container (builder, node, items);
     return;
   }
   builder_put (builder, node);
@@ -193,6 +253,11 @@
   if (builder->text != NULL) {
     g_autoptr (GString) text = g_steal_pointer (&builder->text);
     builder_text (builder, (const guint8 *) text->str, text->len);
+  } else if (builder->skipped != NULL) {
+    if (*innermost_skipped (builder) == INDEFINITE)
+      end_skipped (builder);
+    else
+      builder->failed = TRUE;
   } else if (builder->depth == 0 || builder->stack[builder->depth - 1].items_left != INDEFINITE
              || builder->stack[builder->depth - 1].key != NULL) {
     builder->failed = TRUE;
@@ -237,6 +302,8 @@
     g_free (builder->stack[i].key);
   if (builder->text != NULL)
     g_string_free (builder->text, TRUE);
+  if (builder->skipped != NULL)
+    g_array_unref (builder->skipped);
 }
 
 json_t *
@@ -250,7 +317,8 @@
       builder.failed = TRUE;
     position += result.read;
   }
-  gboolean complete = !builder.failed && builder.root != NULL && builder.depth == 0 && builder.text == NULL;
+  gboolean complete = !builder.failed && builder.root != NULL && builder.depth == 0 && builder.text == NULL
+                      && builder.skipped == NULL;
   builder_clear (&builder);
   if (!complete || position != size)
     g_clear_pointer (&builder.root, json_decref);
--- a/src/wire/cbor.h
+++ b/src/wire/cbor.h
@@ -18,8 +18,9 @@
  * Allocates memory only for items that @data contains, never for a length that a header announces.
  *
  * Returns: (transfer full) (nullable): the value tree, or %NULL if @data is not exactly one
- * well-formed item, contains something outside of the JSON data model (byte strings, tags, numbers
- * that are not finite, keys that are not texts) or is nested deeper than %FT_NESTING_MAX.
+ * well-formed item or contains something outside of the JSON data model (byte strings, tags, numbers
+ * that are not finite, keys that are not texts). An array or a map that is nested deeper than
+ * %FT_NESTING_MAX is in no field that this version knows: it is read over, and null stands for it.
  */
 json_t *ft_cbor_decode (const guint8 *data, gsize size);
 
--- a/src/wire/fields.c
+++ b/src/wire/fields.c
@@ -3,6 +3,8 @@
 #include <math.h>
 #include <string.h>
 
+#include "core/constants.h"
+
 G_DEFINE_QUARK (ft - wire - error - quark, ft_wire_error)
 
 gboolean
@@ -56,14 +58,26 @@
   return TRUE;
 }
 
+/* Reads a whole number, which a sender may write as a decimal number like 4.0. Returns FALSE if `item` is none, or is
+ * negative, or is a decimal number too large to be exact. */
+static gboolean
+read_whole (const json_t *item, guint64 *value)
+{
+  double real = json_real_value (item);
+  if (json_is_integer (item) && json_integer_value (item) >= 0)
+    *value = (guint64) json_integer_value (item);
+  else if (json_is_real (item) && real >= 0 && real <= FT_EXACT_REAL_MAX && real == floor (real))
+    *value = (guint64) real;
+  else
+    return FALSE;
+  return TRUE;
+}
+
 gboolean
 ft_field_count (const json_t *map, const char *name, guint64 min, guint64 max, guint64 *out)
 {
-  const json_t *item = json_object_get (map, name);
-  if (!json_is_integer (item) || json_integer_value (item) < 0)
-    return FALSE;
-  guint64 value = (guint64) json_integer_value (item);
-  if (value < min || value > max)
+  guint64 value;
+  if (!read_whole (json_object_get (map, name), &value) || value < min || value > max)
     return FALSE;
   *out = value;
   return TRUE;
