Connections that owe a request are closed, and a full server listens again

What users saw on services like this one: a half-sent or slowly sent request blocked a controller. After about 200 requests that were cut off and closed (sockets limited to 200) the controller accepted no connection any more, for good; so did 200 connections that were never used, sent headers without an end, a byte a second or half of a body.

Cause, three things in the HTTP server. It had no time limit on a connection. libmicrohttpd reads edge-triggered events and misses that the other side has closed a connection right after a part of a request, so that it stays open for good. Once at its limit, libmicrohttpd listens again only in the run after the one in which connections are closed, and without an event no run came.

Change: net/http_connections keeps what each connection owes. A complete request is owed within 10 s of the opening or of the request's first line, the next one within 60 s of the last answer; beyond the connections that may stay open, and beyond 4 MiB of bodies, the one that has owed a request for longest goes, after a second. Connections closed by the other side are found within 250 ms. A run follows each closing above the limit.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -535,6 +535,18 @@
 /* ---- HTTP server ---- */
 /* Connections that the server accepts beyond the limit of FT_SOCKET_SHARE only to answer and close them. */
 #define FT_CONNECTIONS_SPARE 64
+/* Seconds within which a connection must bring a complete request, from its opening or from the request's first line.
+ * Users and workers wait for an answer for at most 5 s. */
+#define FT_REQUEST_RECEIVE_S 10
+/* Seconds for which a connection may owe a request before it can be closed in favour of others. */
+#define FT_REQUEST_GRACE_S 1.0
+/* Seconds without a request after which an open connection is closed: several intervals of heartbeats and polls. */
+#define FT_CONNECTION_IDLE_S 60.0
+/* Bytes of bodies that one server keeps for requests that are not complete or not answered, beyond which the connections
+ * that have owed a request for longest are closed. */
+#define FT_BODY_BYTES_KEPT (64UL * FT_BODY_MAX)
+/* Milliseconds between two looks for connections that owe a request and have to be closed. */
+#define FT_CONNECTIONS_CHECK_MS 250
 /* Bytes that the server keeps for a connection, for the headers and a part of the body. */
 #define FT_CONNECTION_MEMORY 8192
 /* Share of the limit on sockets that open connections to the server may take. */
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -9,6 +9,7 @@
 
 #include "core/constants.h"
 #include "net/http.h"
+#include "net/http_connections.h"
 
 G_DEFINE_QUARK (ft - http - error - quark, ft_http_error)
 
@@ -19,11 +20,12 @@
   FtHttpHandler handler;
   gpointer data;
   guint max_file_descriptors; /* number of connections that may stay open */
-  guint connections;          /* number of open connections */
-  guint turn;                 /* number of the current run of libmicrohttpd */
-  guint epoll_source;         /* main loop source of libmicrohttpd's epoll descriptor */
-  guint retry_source;         /* main loop source that runs libmicrohttpd without an epoll event; 0: none */
-  GHashTable *waiting;        /* set of suspended requests, which their handlers have not answered yet */
+  FtHttpConnections *connections;
+  guint turn;           /* number of the current run of libmicrohttpd */
+  guint epoll_source;   /* main loop source of libmicrohttpd's epoll descriptor */
+  guint retry_source;   /* main loop source that runs libmicrohttpd without an epoll event; 0: none */
+  guint overdue_source; /* main loop source that closes connections which owe a request for too long */
+  GHashTable *waiting;  /* set of suspended requests, which their handlers have not answered yet */
 };
 
 /* The connection owns the request and frees it in on_completed(). If the server is freed before the
@@ -56,6 +58,13 @@
 
 /* ---- requests ---- */
 
+/* Returns the connection's record in FtHttpServer.connections. */
+static FtHttpConnection *
+record_of (struct MHD_Connection *connection)
+{
+  return MHD_get_connection_info (connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context;
+}
+
 static void
 request_free (FtHttpRequest *request)
 {
@@ -79,6 +88,7 @@
   request->connection = connection;
   request->raw_body = g_byte_array_new ();
   request->query = g_strdup (query != NULL ? query + 1 : "");
+  ft_http_connection_request_begun (record_of (connection), g_get_monotonic_time ());
   return request;
 }
 
@@ -86,24 +96,29 @@
 on_completed (void *data, struct MHD_Connection *connection, void **context, enum MHD_RequestTerminationCode code)
 {
   (void) data;
-  (void) connection;
   (void) code;
   FtHttpRequest *request = *context;
   *context = NULL;
-  if (request != NULL && request->server != NULL)
+  if (request != NULL && request->server != NULL) {
+    ft_http_connection_request_over (record_of (connection), g_get_monotonic_time ());
     request_free (request);
+  }
 }
 
 static void
 on_connection (void *data, struct MHD_Connection *connection, void **context, enum MHD_ConnectionNotificationCode code)
 {
   FtHttpServer *server = data;
-  (void) connection;
-  (void) context;
-  if (code == MHD_CONNECTION_NOTIFY_STARTED)
-    server->connections++;
-  else
-    server->connections--;
+  if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+    int socket = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+    *context = ft_http_connections_opened (server->connections, socket, g_get_monotonic_time ());
+  } else {
+    /* After it has reached its limit, libmicrohttpd listens again in the run after the one that closes connections. */
+    if (ft_http_connections_count (server->connections) > server->max_file_descriptors)
+      schedule_retry (server, 0);
+    ft_http_connection_closed (*context);
+    *context = NULL;
+  }
 }
 
 /* Keeps a body of up to FT_BODY_MAX bytes, whatever Content-Length says. Closes the connection if the body
@@ -112,8 +127,10 @@
 append_chunk (FtHttpRequest *request, const char *chunk, size_t *size)
 {
   request->body_size += *size;
-  if (request->body_size <= FT_BODY_MAX)
+  if (request->body_size <= FT_BODY_MAX) {
     g_byte_array_append (request->raw_body, (const guint8 *) chunk, (guint) *size);
+    ft_http_connection_body_received (record_of (request->connection), *size, g_get_monotonic_time ());
+  }
   *size = 0;
   return request->body_size > FT_BODY_ABORT_BYTES ? MHD_NO : MHD_YES;
 }
@@ -166,6 +183,7 @@
     set_unavailable (server, request);
     return queue_response (request);
   }
+  ft_http_connection_request_complete (record_of (connection));
   server->handler (request, server->data);
   if (request->response != NULL)
     return queue_response (request);
@@ -227,7 +245,7 @@
     g_snprintf (after, sizeof after, "%d", FT_RETRY_AFTER_S);
     MHD_add_response_header (request->response, MHD_HTTP_HEADER_RETRY_AFTER, after);
   }
-  if (request->close_after_response || server->connections > server->max_file_descriptors)
+  if (request->close_after_response || ft_http_connections_count (server->connections) > server->max_file_descriptors)
     MHD_add_response_header (request->response, MHD_HTTP_HEADER_CONNECTION, "close");
   if (request->is_suspended) {
     request->is_suspended = FALSE;
@@ -270,6 +288,14 @@
   return G_SOURCE_REMOVE;
 }
 
+static gboolean
+on_overdue_timer (gpointer data)
+{
+  const FtHttpServer *server = data;
+  ft_http_connections_close_overdue (server->connections, g_get_monotonic_time ());
+  return G_SOURCE_CONTINUE;
+}
+
 static gboolean
 on_readable (gint fd, GIOCondition condition, gpointer data)
 {
@@ -316,6 +342,7 @@
   server->data = data;
   server->max_file_descriptors = max_file_descriptors;
   server->waiting = g_hash_table_new (g_direct_hash, g_direct_equal);
+  server->connections = ft_http_connections_new (max_file_descriptors);
   server->daemon = start_daemon (server, (const struct sockaddr *) &native);
   if (server->daemon == NULL) {
     g_set_error (error, FT_HTTP_ERROR, FT_HTTP_ERROR_LISTEN, "%s cannot be listened on", addr);
@@ -323,6 +350,7 @@
   }
   int fd = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
   server->epoll_source = g_unix_fd_add (fd, G_IO_IN, on_readable, server);
+  server->overdue_source = g_timeout_add (FT_CONNECTIONS_CHECK_MS, on_overdue_timer, server);
   return g_steal_pointer (&server);
 }
 
@@ -352,16 +380,18 @@
     return;
   g_clear_handle_id (&server->epoll_source, g_source_remove);
   g_clear_handle_id (&server->retry_source, g_source_remove);
+  g_clear_handle_id (&server->overdue_source, g_source_remove);
   if (server->daemon != NULL)
     stop (server);
   g_hash_table_unref (server->waiting);
+  ft_http_connections_free (server->connections);
   g_free (server);
 }
 
 guint
 ft_http_server_connections (const FtHttpServer *server)
 {
-  return server->connections;
+  return ft_http_connections_count (server->connections);
 }
 
 guint
