A cancelled start in doubt is made harmless by a higher token, or its worker's lease is left to run out

What users saw on services like this one: a start command that was held up ran after its job's time for cancelling was over. Here it could, while the cloud took no machines back: the leader went on answering the heartbeats of the machine, so that token and session of the held-up start still matched when it arrived.

Cause: a right that had not lapsed. The only ends of such a doubt were the machine's end and a new session; nothing else took the start's token away, unless the token was renewed by chance, for tasks that had ended there.

Change: a start in doubt renews the machine's token with the next answer, and a status that shows the higher token without the attempt ends the doubt and frees the team's share. Where no token is left, heartbeats are refused once an answer would let the session outlast the time for cancelling (an answer grace period after the cancellation).

--- a/src/core/attempt.h
+++ b/src/core/attempt.h
@@ -93,6 +93,15 @@
   return attempt->stop != FT_ATTEMPT_STOP_NONE;
 }
 
+/* Returns whether the attempt is to stop while its worker may still execute its start: a direct request with the start
+ * got no answer, and no status shows the attempt. */
+static inline gboolean
+ft_attempt_start_in_doubt (const FtAttempt *attempt)
+{
+  return attempt->state == FT_ATTEMPT_PLACED && attempt->direct_start == FT_DIRECT_START_UNANSWERED
+         && ft_attempt_stop_requested (attempt);
+}
+
 /* Changes the state of the attempt; no other function does. Returns FALSE and changes nothing if the transition is not
  * allowed. */
 gboolean ft_attempt_set_state (FtAttempt *attempt, FtAttemptState to);
--- a/src/core/attempt_reports.c
+++ b/src/core/attempt_reports.c
@@ -2,6 +2,7 @@
 
 #include "core/attempt_lifecycle.h"
 #include "core/fault.h"
+#include "core/start_copies.h"
 
 /* ---- an attempt exits ---- */
 
@@ -202,12 +203,13 @@
     return;
   }
   /* A worker executes the commands in the answer to a heartbeat before its next heartbeat, or never. A direct start may
-   * arrive later: if it was not answered, only the end of the incarnation proves that it was not executed. */
+   * arrive later: if it was not answered, only the end of the incarnation proves that it was not executed, or a status
+   * that shows a higher token than the start carried: the worker refuses it from then on. */
   gboolean answer_start_expired = is_heartbeat && attempt->sent_sequence < heartbeat->sequence;
   if (!ft_attempt_stop_requested (attempt) || !answer_start_expired
       || attempt->direct_start == FT_DIRECT_START_IN_FLIGHT)
     return;
-  if (attempt->direct_start != FT_DIRECT_START_UNANSWERED)
+  if (attempt->direct_start != FT_DIRECT_START_UNANSWERED || !ft_start_copies_possible (attempt))
     ft_attempt_end (attempt);
   else if (attempt->bound && attempt->job->state == FT_JOB_OPEN)
     ft_attempt_clear_stop (attempt); /* the start is sent again: the unanswered one may never be executed */
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -542,8 +542,8 @@
 #define FT_REQUEST_GRACE_S 1.0
 /* Seconds without a request after which an open connection is closed: several intervals of heartbeats and polls. */
 #define FT_CONNECTION_IDLE_S 60.0
-/* Bytes of bodies that one server keeps for requests that are not complete or not answered, beyond which the connections
- * that have owed a request for longest are closed. */
+/* Bytes of bodies that one server keeps for requests that are not complete or not answered, beyond which the
+ * connections that have owed a request for longest are closed. */
 #define FT_BODY_BYTES_KEPT (64UL * FT_BODY_MAX)
 /* Milliseconds between two looks for connections that owe a request and have to be closed. */
 #define FT_CONNECTIONS_CHECK_MS 250
--- a/src/core/heartbeat_answer.c
+++ b/src/core/heartbeat_answer.c
@@ -2,6 +2,7 @@
 
 #include "core/machine_log.h"
 #include "core/start_copies.h"
+#include "core/start_in_doubt.h"
 #include "core/worker_commands.h"
 
 /* Whether the heartbeat may be answered, which renews the worker's lease: it has been applied, or a newer status of the
@@ -89,6 +90,10 @@
   FtMachine *machine = ft_machine_table_find (table, heartbeat->machine);
   if (machine == NULL || !may_answer (machine, heartbeat))
     return NULL;
+  if (ft_start_in_doubt_forbids_answer (machine)) {
+    ft_machine_log_refused (machine, "a cancelled start may still be executed");
+    return NULL;
+  }
   ft_reachability_answer_sent (&machine->reachability, machine->reconciled, table->context->now);
   ft_reachability_sequence_answered (&machine->reachability, heartbeat->sequence);
   GArray *commands = ft_commands_new ();
--- a/src/core/machine.h
+++ b/src/core/machine.h
@@ -110,6 +110,7 @@
   gint64 unapplied_since;       /* arrival of the first of them */
   gint64 unapplied_last_at;     /* arrival of the last of them */
   gint64 unapplied_at;          /* when a line about such heartbeats was last logged */
+  gint64 refused_at;            /* when it was last logged that an applied heartbeat is refused */
   gint64 stops_at;              /* when stops were last logged */
   guint returns_failed;         /* calls to return the machine that have failed */
 } FtMachineLog;
--- a/src/core/machine_log.c
+++ b/src/core/machine_log.c
@@ -107,6 +107,15 @@
              outcome == FT_HEARTBEAT_OLDER ? "answered" : "refused");
 }
 
+void
+ft_machine_log_refused (FtMachine *machine, const char *reason)
+{
+  if (!is_due (machine, machine->log.refused_at))
+    return;
+  machine->log.refused_at = machine->context->now;
+  g_message ("machine %s: heartbeat refused (%s)", machine->name, reason);
+}
+
 /* ---- stops ---- */
 
 void
--- a/src/core/machine_log.h
+++ b/src/core/machine_log.h
@@ -17,6 +17,9 @@
  * once; the others are counted, and told when a heartbeat is applied again or the reason changes. */
 void ft_machine_log_heartbeat (FtMachine *machine, FtHeartbeatOutcome outcome);
 
+/* Logs that a heartbeat of the machine has been applied and is not answered, for that reason. */
+void ft_machine_log_refused (FtMachine *machine, const char *reason);
+
 /* Logs the stops among the commands (FtCommand) that are sent to the machine. `way`: the message that carries them. */
 void ft_machine_log_stops (FtMachine *machine, const GArray *commands, const char *way);
 
--- a/src/core/start_copies.c
+++ b/src/core/start_copies.c
@@ -26,8 +26,16 @@
   return attempt->state == FT_ATTEMPT_FORGETTABLE && attempt->direct_token >= attempt->machine->worker_token.current;
 }
 
-/* Whether the worker token should be renewed: the worker remembers many directly started attempts, or one of them for a
- * long time. */
+/* Whether the start of the attempt is in doubt, and commands to the worker do not carry a token yet that ends the
+ * doubt. */
+static gboolean
+doubt_needs_higher_token (const FtAttempt *attempt)
+{
+  return ft_attempt_start_in_doubt (attempt) && attempt->direct_token >= attempt->machine->worker_token.current;
+}
+
+/* Whether the worker token should be renewed: a cancelled start is in doubt, or the worker remembers many directly
+ * started attempts, or one of them for a long time. */
 static gboolean
 is_token_renewal_due (const FtMachine *machine)
 {
@@ -38,6 +46,8 @@
   g_hash_table_iter_init (&it, machine->attempts);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     const FtAttempt *attempt = value;
+    if (doubt_needs_higher_token (attempt))
+      return TRUE;
     if (!needs_higher_token (attempt))
       continue;
     remembered++;
--- a/src/core/start_in_doubt.c
+++ b/src/core/start_in_doubt.c
@@ -1,7 +1,7 @@
 #include "core/start_in_doubt.h"
 
-#include "core/attempt.h"
 #include "core/constants.h"
+#include "core/job.h"
 
 /* The attempts on a machine, as far as starts in doubt are concerned. */
 typedef struct {
@@ -10,13 +10,6 @@
   gboolean has_other_work; /* another attempt has not exited, or has a result that is not committed */
 } StartsInDoubt;
 
-static gboolean
-is_in_doubt (const FtAttempt *attempt)
-{
-  return attempt->state == FT_ATTEMPT_PLACED && attempt->direct_start == FT_DIRECT_START_UNANSWERED
-         && ft_attempt_stop_requested (attempt);
-}
-
 static StartsInDoubt
 examine_attempts (const FtMachine *machine)
 {
@@ -28,7 +21,7 @@
   g_hash_table_iter_init (&it, machine->attempts);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     const FtAttempt *attempt = value;
-    if (is_in_doubt (attempt)) {
+    if (ft_attempt_start_in_doubt (attempt)) {
       starts.in_doubt++;
       starts.age_s = MAX (starts.age_s, (double) (machine->context->now - attempt->placed_at) / FT_SECOND);
     } else {
@@ -63,3 +56,21 @@
   return !starts.has_other_work
          || starts.age_s > FT_START_IN_DOUBT_SCALE_IN_SHARE * machine->context->settings->cancel_s;
 }
+
+gboolean
+ft_start_in_doubt_forbids_answer (const FtMachine *machine)
+{
+  const FtCoreContext *context = machine->context;
+  GHashTableIter it;
+  gpointer value;
+  if (!machine->fitness.start_unanswered)
+    return FALSE;
+  g_hash_table_iter_init (&it, machine->attempts);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    const FtAttempt *attempt = value;
+    if (ft_attempt_start_in_doubt (attempt) && attempt->job != NULL && attempt->job->state == FT_JOB_CANCELLING
+        && context->now > attempt->job->cancelled_at + context->answer_grace_us)
+      return TRUE;
+  }
+  return FALSE;
+}
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -161,6 +161,7 @@
   // ---- behaviour of tasks ----
 
   Time worker_step = kSecond / 10;     // interval between two steps of a worker's loop
+  double longest_fetch_s = 1.5;        // longest time in which a machine fetches an image, at least 0.1 s
   std::map<std::string, double> run_s; // mean run time of a task, in seconds, by job
   // The tasks, as "JOB/INDEX", that have completed on any machine. Their results are kept, so that they complete
   // at once when they run again.
--- a/tests/test_start_in_doubt.cpp
+++ b/tests/test_start_in_doubt.cpp
@@ -79,4 +79,41 @@
   }
 }
 
+// Guards against ran_cancelled while the cloud does not take the machine back: the worker refuses the start from then
+// on.
+TEST (StartInDoubt, DoubtRenewsTheWorkerTokenAndEndsWhenAStatusShowsIt)
+{
+  SchedulerHarness harness ({ 3, 1000 });
+  ft_scheduler_loaded (harness.scheduler, 100 * kS);
+  harness.machine_up (100 * kS);
+  ft_scheduler_job_added (harness.scheduler, new_job_spec ("req-1", 1), 5, 101 * kS, 0);
+  ft_scheduler_place (harness.scheduler, 101 * kS, TRUE);
+  FtDirectRequest *direct = ft_scheduler_next_direct_request (harness.scheduler, 101 * kS);
+  ASSERT_NE (direct, nullptr);
+  ft_scheduler_direct_request_done (harness.scheduler, direct, FT_DIRECT_UNANSWERED, nullptr, 103 * kS);
+  ft_direct_request_free (direct);
+  ft_scheduler_job_cancelled (harness.scheduler, "req-1", 0, 103 * kS);
+  g_autoptr (FtWorkerHeartbeat) before = harness.new_heartbeat (1, 2, 3);
+  ft_scheduler_heartbeat (harness.scheduler, before, 104 * kS);
+  guint64 token = 0;
+  g_autoptr (GArray) commands = ft_scheduler_answer (harness.scheduler, before, 104 * kS, &token);
+  EXPECT_EQ (token, 4u);
+  EXPECT_GT (harness.machine ("n-1")->cpus, 0) << "a status under the old token ends nothing";
+  g_autoptr (FtWorkerHeartbeat) after = harness.new_heartbeat (1, 3, 4);
+  ft_scheduler_heartbeat (harness.scheduler, after, 105 * kS);
+  EXPECT_EQ (harness.machine ("n-1")->cpus, 0);
+}
+
+// Guards against the same where no higher token is left: the incarnation must end in time.
+TEST (StartInDoubt, HeartbeatsAreNotAnsweredOnceTheLeaseWouldOutlastTheTimeForCancelling)
+{
+  StartInDoubt harness;
+  gint64 cancelled_at = harness.now;
+  harness.now = cancelled_at + 18 * kS; // the answer grace period of the harness
+  g_autoptr (GArray) in_time = harness.exchange (harness.now, ++harness.sequence, { harness.other () });
+  EXPECT_NE (in_time, nullptr);
+  g_autoptr (GArray) late = harness.exchange (harness.now + 1, ++harness.sequence, { harness.other () });
+  EXPECT_EQ (late, nullptr);
+}
+
 } // namespace
