A machine that is back under its old name is used or returned again

What users saw on services like this one: machines that were deleted late or came back within a second ran tasks that no controller knew of. Here a machine that reported again after its return was confirmed stayed refused until the leadership ended: nobody used it, nobody returned it, and it was paid for.

Cause: that a machine is gone was concluded from the cloud's answer once and for all; no message of the machine could contradict it.

Change: the names of machines that are gone keep the incarnation that they had last. A heartbeat of a later one cannot be a copy from before the return: the machine is added like any other that nobody expected, and what runs there is stopped. If it was the last late copy of a machine that is gone, the machine becomes silent and its return is asked for again, which the cloud ignores.

Evidence: LateMachines.MachineThatIsBackUnderItsOldNameIsUsedAgain failed before and passes.

--- a/src/core/machine_table.c
+++ b/src/core/machine_table.c
@@ -9,7 +9,7 @@
   table->queues = queues;
   table->machines = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) ft_machine_free);
   table->zones = ft_zones_new ();
-  table->gone = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  table->gone = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   table->drained = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 }
 
@@ -45,13 +45,26 @@
   return g_hash_table_contains (table->gone, name);
 }
 
+gboolean
+ft_machine_table_is_back (FtMachineTable *table, const char *name, guint64 incarnation)
+{
+  const guint64 *last = g_hash_table_lookup (table->gone, name);
+  /* While the table has the machine, a request to it or about it is in flight. */
+  if (last == NULL || incarnation <= *last || ft_machine_table_find (table, name) != NULL)
+    return FALSE;
+  g_hash_table_remove (table->gone, name);
+  g_message ("machine %s: back (incarnation %" G_GUINT64_FORMAT " began after it was gone)", name, incarnation);
+  return TRUE;
+}
+
 void
 ft_machine_table_set_gone (FtMachineTable *table, FtMachine *machine, const char *reason)
 {
   ft_attempt_end_incarnation (machine);
   ft_machine_set_reconciled (machine);
   ft_machine_set_state (machine, FT_MACHINE_GONE, reason);
-  g_hash_table_add (table->gone, g_strdup (machine->name));
+  g_hash_table_insert (table->gone, g_strdup (machine->name),
+                       g_memdup2 (&machine->incarnation, sizeof machine->incarnation));
   table->context->placement_due = TRUE;
 }
 
--- a/src/core/machine_table.h
+++ b/src/core/machine_table.h
@@ -11,8 +11,9 @@
   FtMachineQueues *queues; /* borrowed */
   GHashTable *machines;    /* name -> FtMachine, owned */
   GHashTable *zones;       /* name -> FtZone, owned */
-  GHashTable *gone;        /* names of machines that have been returned or have failed */
-  GHashTable *drained;     /* names of machines that operators have drained */
+  GHashTable *gone;    /* name -> guint64, owned: machines that have been returned or have failed, with the incarnation
+                          that they had last */
+  GHashTable *drained; /* names of machines that operators have drained */
 } FtMachineTable;
 
 /* Initializes the table as empty. `context` and `queues` are borrowed and must outlive it. */
@@ -32,6 +33,10 @@
 /* Whether a machine of that name has been returned or has failed. */
 gboolean ft_machine_table_is_gone (const FtMachineTable *table, const char *name);
 
+/* Forgets that the machine is gone if it reports an incarnation that began after that: it is back under its old name,
+ * or was returned late. Returns whether it is. */
+gboolean ft_machine_table_is_back (FtMachineTable *table, const char *name, guint64 incarnation);
+
 /* Marks the machine as returned or failed and ends all attempts on it. `reason` is logged. The machine stays in the
  * table while a request to or about it is in flight. */
 void ft_machine_table_set_gone (FtMachineTable *table, FtMachine *machine, const char *reason);
--- a/src/core/scheduler_workers.c
+++ b/src/core/scheduler_workers.c
@@ -28,7 +28,8 @@
   /* Until the registry has been read, the tasks that a machine may hold are unknown. */
   if (!ft_recovery_is_loaded (&scheduler->recovery))
     return FT_HEARTBEAT_NOT_LOADED;
-  if (ft_machine_table_is_gone (&scheduler->machine_table, heartbeat->machine))
+  if (ft_machine_table_is_gone (&scheduler->machine_table, heartbeat->machine)
+      && !ft_machine_table_is_back (&scheduler->machine_table, heartbeat->machine, heartbeat->incarnation))
     return FT_HEARTBEAT_MACHINE_GONE;
   FtMachine *machine = ft_worker_heartbeats_machine (&scheduler->worker_heartbeats, heartbeat);
   FtHeartbeatOutcome outcome = apply_status (scheduler, machine, heartbeat, TRUE);
