Commands do not go to an address that another machine has by now

What users saw on services like this one: machines that came back with an old address ran tasks that no controller knew of. Here two ways led to commands at a wrong address: any late copy of a heartbeat, applied or not, set the machine's address back; and an answer that named another machine was taken for the machine's own, without a look at its status.

Cause: a change made before the check that the message is the newest; a message that contradicts the record ignored.

Change: only an applied status sets the address. If another machine answers a direct request, the request counts as unanswered, the address is forgotten until the machine reports one, and the status is applied to the machine that sent it, so that a task which it has started is stopped at once.

--- a/src/core/scheduler_workers.c
+++ b/src/core/scheduler_workers.c
@@ -73,6 +73,21 @@
   ft_direct_commands_apply_result (machine, direct, result);
 }
 
+/* Another machine has got the request, at an address that the machine had before: the request is as good as unanswered,
+ * and what the other machine has executed is known from its status. */
+static void
+request_went_astray (FtScheduler *scheduler, FtMachine *machine, const FtDirectRequest *direct,
+                     const FtWorkerHeartbeat *heartbeat)
+{
+  FtMachine *other = ft_machine_table_find (&scheduler->machine_table, heartbeat->machine);
+  g_message ("machine %s: machine %s answers at its address (%s)", machine->name, heartbeat->machine, direct->addr);
+  if (g_strcmp0 (machine->addr, direct->addr) == 0)
+    ft_machine_set_addr (machine, NULL);
+  apply_direct_result (machine, direct, FT_DIRECT_UNANSWERED);
+  if (other != NULL && other->state != FT_MACHINE_GONE)
+    apply_status (scheduler, other, heartbeat, FALSE);
+}
+
 gboolean
 ft_scheduler_direct_request_done (FtScheduler *scheduler, const FtDirectRequest *direct, FtDirectResult result,
                                   const FtWorkerHeartbeat *heartbeat, gint64 now)
@@ -85,8 +100,12 @@
     return FALSE;
   if (machine == NULL)
     return TRUE;
+  if (heartbeat != NULL && g_strcmp0 (heartbeat->machine, machine->name) != 0) {
+    request_went_astray (scheduler, machine, direct, heartbeat);
+    return TRUE;
+  }
   apply_direct_result (machine, direct, result);
-  if (heartbeat == NULL || g_strcmp0 (heartbeat->machine, machine->name) != 0)
+  if (heartbeat == NULL)
     return TRUE;
   apply_status (scheduler, machine, heartbeat, FALSE);
   if (result == FT_DIRECT_CONFLICT && !machine->reconciled)
--- a/src/core/worker_heartbeats.c
+++ b/src/core/worker_heartbeats.c
@@ -19,7 +19,6 @@
     ft_machine_set_reconciled (machine);
     g_message ("machine %s: added (first heartbeat)", machine->name);
   }
-  ft_machine_set_addr (machine, heartbeat->addr);
   return machine;
 }
 
@@ -127,6 +126,7 @@
   if (heartbeat->incarnation > machine->incarnation)
     begin_incarnation (machine, heartbeat->incarnation, is_heartbeat);
   machine->sequence = heartbeat->sequence;
+  ft_machine_set_addr (machine, heartbeat->addr);
   record_contact (machine, is_heartbeat);
   if (heartbeat->token >= context->first_worker_token)
     apply_acknowledged_status (heartbeats, machine, heartbeat, is_heartbeat);
--- a/tests/test_late_machines.cpp
+++ b/tests/test_late_machines.cpp
@@ -25,6 +25,41 @@
   EXPECT_TRUE (ft_machine_usable (harness.machine ("n-1")));
 }
 
+// Guards against a task that no controller knows of: the command has reached another machine, which has the address
+// now.
+TEST (LateMachines, TaskThatStartedAtAnOldAddressIsKnownAndStopped)
+{
+  OneMachine harness;
+  ft_scheduler_job_added (harness.scheduler, new_job_spec ("req-1", 1), 5, 101 * kS, 0);
+  ft_scheduler_place (harness.scheduler, 101 * kS, TRUE);
+  FtDirectRequest *direct = ft_scheduler_next_direct_request (harness.scheduler, 101 * kS);
+  ASSERT_NE (direct, nullptr);
+  harness.second_machine_up (101 * kS);
+  guint64 attempt = g_array_index (direct->commands, FtCommand, 0).attempt;
+  g_autoptr (FtWorkerHeartbeat) other = harness.new_heartbeat (1, 2, 3, "n-2");
+  add_tasks (other, { task_status ("req-1", 0, attempt, FT_TASK_PHASE_RUNNING) });
+  ft_scheduler_direct_request_done (harness.scheduler, direct, FT_DIRECT_OK, other, 102 * kS);
+  ft_direct_request_free (direct);
+  EXPECT_EQ (harness.machine ("n-1")->addr, nullptr) << "more commands would go astray";
+  EXPECT_EQ (harness.machine_of ("req-1", 0), "n-1") << "its own start is not known to be over";
+  FtDirectRequest *stop = ft_scheduler_next_direct_request (harness.scheduler, 102 * kS);
+  ASSERT_NE (stop, nullptr);
+  EXPECT_STREQ (stop->machine, "n-2");
+  EXPECT_EQ (count_commands (stop->commands, FT_COMMAND_STOP), 1u);
+  ft_direct_request_free (stop);
+}
+
+// Guards against commands to an address that the machine has given up: a late copy of a heartbeat names it.
+TEST (LateMachines, LateCopyOfAHeartbeatDoesNotBringAnOldAddressBack)
+{
+  OneMachine harness (5);
+  g_autoptr (FtWorkerHeartbeat) copy = harness.new_heartbeat (1, 4, 3);
+  g_free (copy->addr);
+  copy->addr = g_strdup ("10.1.0.99:9000");
+  ft_scheduler_heartbeat (harness.scheduler, copy, 101 * kS);
+  EXPECT_STREQ (harness.machine ("n-1")->addr, "10.1.0.1:9000");
+}
+
 // Random runs in which the cloud carries out calls late and machines restart at once. At the end no machine is left
 // that the leader does not know of.
 class LateMachinesRun : public testing::TestWithParam<guint32> {};
