A connection whose bytes wait to be read is not closed for this controller's own lateness

Cause: what a connection owes was reckoned by this controller's clock alone. A controller that stood still, or has more to do than it can, would have closed connections whose requests it had not read yet, in favour of others.

Change: only connections without bytes that wait to be read are closed, and at most 256 are looked at once.

Evidence: HttpConnections.ConnectionWhoseBytesWaitToBeReadIsNotClosedForThisControllersLateness failed before and passes.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -545,6 +545,8 @@
 /* Bytes of bodies that one server keeps for requests that are not complete or not answered, beyond which the
  * connections that have owed a request for longest are closed. */
 #define FT_BODY_BYTES_KEPT (64UL * FT_BODY_MAX)
+/* Connections that are examined at once for some that can be closed. */
+#define FT_CONNECTIONS_EXAMINED 256
 /* Milliseconds between two looks for connections that owe a request and have to be closed. */
 #define FT_CONNECTIONS_CHECK_MS 250
 /* Bytes that the server keeps for a connection, for the headers and a part of the body. */
--- a/src/net/http_connections.c
+++ b/src/net/http_connections.c
@@ -70,25 +70,34 @@
   set_debt (connection, OWES_NOTHING, now);
 }
 
-/* Closes the connections that have had that debt for longer than `limit_s`, but at most `most` of them. */
+/* Looks at the bytes of the connection that wait to be read. Returns a positive number if there are some, 0 if the
+ * other side has closed the connection, and a negative number otherwise. */
+static gssize
+peek (const FtHttpConnection *connection)
+{
+  char byte;
+  return recv (connection->socket, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+}
+
+/* Closes the connections that have had that debt for longer than `limit_s`, but at most `most` of them. Those whose
+ * bytes wait to be read stay open, since it is this controller that is late. */
 static void
 close_longest (FtHttpConnections *connections, Debt debt, double limit_s, guint most, gint64 now)
 {
-  for (guint i = 0; i < most; i++) {
-    FtHttpConnection *oldest = g_queue_peek_head (&connections->by_debt[debt]);
-    if (oldest == NULL || now - oldest->since <= ft_seconds (limit_s))
+  GList *next;
+  guint closed = 0, examined = 0;
+  for (GList *link = connections->by_debt[debt].head; link != NULL && closed < most; link = next) {
+    FtHttpConnection *connection = link->data;
+    next = link->next;
+    if (now - connection->since <= ft_seconds (limit_s) || examined++ == FT_CONNECTIONS_EXAMINED)
       return;
-    close_connection (oldest, now);
+    if (peek (connection) > 0)
+      continue;
+    close_connection (connection, now);
+    closed++;
   }
 }
 
-static gboolean
-is_closed_by_peer (const FtHttpConnection *connection)
-{
-  char byte;
-  return recv (connection->socket, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
 /* Closes the connections that owe a request and will not bring it, since the other side has closed them. */
 static void
 close_abandoned (FtHttpConnections *connections, gint64 now)
@@ -96,7 +105,7 @@
   GList *next;
   for (GList *link = connections->by_debt[OWES_REQUEST].head; link != NULL; link = next) {
     next = link->next;
-    if (is_closed_by_peer (link->data))
+    if (peek (link->data) == 0)
       close_connection (link->data, now);
   }
 }
--- a/tests/test_http_connections.cpp
+++ b/tests/test_http_connections.cpp
@@ -65,6 +65,20 @@
   EXPECT_TRUE (peer.is_closed ()) << "the time runs from the opening, not from the first line";
 }
 
+// Guards against a controller that stood still, or has too much to do, and closes what it has not read yet.
+TEST_F (HttpConnections, ConnectionWhoseBytesWaitToBeReadIsNotClosedForThisControllersLateness)
+{
+  Peer &waiting = open (0), &owing = open (0);
+  ASSERT_EQ (send (waiting.sockets[1], "G", 1, 0), 1);
+  ft_http_connections_close_overdue (connections, 100 * kS);
+  EXPECT_FALSE (waiting.is_closed ());
+  EXPECT_TRUE (owing.is_closed ());
+  char byte;
+  ASSERT_EQ (recv (waiting.sockets[0], &byte, 1, 0), 1);
+  ft_http_connections_close_overdue (connections, 100 * kS);
+  EXPECT_TRUE (waiting.is_closed ());
+}
+
 TEST_F (HttpConnections, CompleteRequestIsNotClosedHoweverLongItsAnswerTakes)
 {
   Peer &peer = open (0);
