--- a/tests/test_module_reachability.cpp
+++ b/tests/test_module_reachability.cpp
@@ -136,8 +136,8 @@
   EXPECT_TRUE (ft_reachability_lease_over (&machine, &context));
 }
 
-// Guards against a lease that is held to be over too early: the answer may not arrive, and until the worker has seen the
-// new token a former leader may renew its lease.
+// Guards against a lease that is held to be over too early: the answer may not arrive, and until the worker has seen
+// the new token a former leader may renew its lease.
 TEST_F (ReachabilityModule, AnswerDoesNotShortenALeaseThatAFormerLeaderMayRenewLater)
 {
   ft_reachability_registered (&machine, 118 * kS, 100 * kS);
