--- a/src/core/heartbeat_answer.c
+++ b/src/core/heartbeat_answer.c
@@ -28,15 +28,20 @@
   return ft_attempt_stop_requested (attempt) && attempt->state == FT_ATTEMPT_ON_WORKER;
 }
 
+/* `may_forget`: the answer may carry forgets too. */
 static void
-add_stops (GArray *commands, const FtMachine *machine)
+add_stops_and_forgets (GArray *commands, const FtMachine *machine, gboolean may_forget)
 {
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, machine->attempts);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    if (wants_stop (value))
-      ft_worker_command_add (commands, FT_COMMAND_STOP, value);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    const FtAttempt *attempt = value;
+    if (wants_stop (attempt))
+      ft_worker_command_add (commands, FT_COMMAND_STOP, attempt);
+    else if (may_forget && ft_worker_command_may_forget (attempt))
+      ft_worker_command_add (commands, FT_COMMAND_FORGET, attempt);
+  }
 }
 
 /* Stops the tasks that the heartbeat shows alive and whose job is cancelled or over, whatever the record of the machine
@@ -47,8 +52,10 @@
 {
   for (guint i = 0; i < heartbeat->tasks->len; i++) {
     const FtTaskStatus *status = &g_array_index (heartbeat->tasks, FtTaskStatus, i);
+    if (status->state == FT_TASK_PHASE_EXITED)
+      continue;
     const FtJob *job = ft_job_table_find (job_table, status->job);
-    if (status->state == FT_TASK_PHASE_EXITED || (job != NULL && job->state < FT_JOB_CANCELLING))
+    if (job != NULL && job->state < FT_JOB_CANCELLING)
       continue;
     const FtAttempt *attempt = ft_machine_attempt (machine, status->job, status->index, status->attempt);
     if (attempt == NULL || !wants_stop (attempt))
@@ -56,19 +63,6 @@
   }
 }
 
-static void
-add_forgets (GArray *commands, const FtMachine *machine)
-{
-  GHashTableIter it;
-  gpointer value;
-  if (!machine->context->may_start)
-    return;
-  g_hash_table_iter_init (&it, machine->attempts);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    if (ft_worker_command_may_forget (value))
-      ft_worker_command_add (commands, FT_COMMAND_FORGET, value);
-}
-
 static void
 add_starts (GArray *commands, const FtMachine *machine, guint64 sequence)
 {
@@ -102,12 +96,11 @@
   if (with_starts)
     ft_placement_fill (placement, machine);
   /* Stop and forget commands come first, since they make room for the starts. */
-  add_stops (commands, machine);
+  add_stops_and_forgets (commands, machine, with_starts && table->context->may_start);
   add_stops_of_listed_tasks (commands, machine, placement->job_table, heartbeat);
   ft_machine_log_stops (machine, commands, "an answer to a heartbeat");
   if (!with_starts)
     return commands;
-  add_forgets (commands, machine);
   add_starts (commands, machine, heartbeat->sequence);
   ft_start_copies_renew_token_if_due (machine);
   return commands;
--- a/src/core/machine_log.c
+++ b/src/core/machine_log.c
@@ -64,12 +64,11 @@
     return "its incarnation is over";
   case FT_HEARTBEAT_FORMER_TOKEN:
     return "a lower token than it has shown";
-  case FT_HEARTBEAT_MACHINE_GONE:
-    return "the machine is gone";
   case FT_HEARTBEAT_SUPERSEDED:
   case FT_HEARTBEAT_APPLIED:
+  case FT_HEARTBEAT_MACHINE_GONE:
   case FT_HEARTBEAT_NOT_LOADED:
-    break;
+    break; /* not logged for a machine */
   }
   return "no reason";
 }
--- a/src/core/machine_log.h
+++ b/src/core/machine_log.h
@@ -3,8 +3,8 @@
  * to its return.
  *
  * Each machine has one record (FtMachine.log). Lines of one kind about one machine are at least FT_MACHINE_LOG_EVERY_S
- * apart: what happens in between is counted and told by the next line. Called by the modules that take the decisions.
- */
+ * apart. Heartbeats and failed returns in between are counted; stops in between are not told, since each is repeated in
+ * the answers to heartbeats until its task has exited. Called by the modules that take the decisions. */
 #pragma once
 #include "core/cloud_call.h"
 #include "core/machine.h"
--- a/src/core/machine_table.c
+++ b/src/core/machine_table.c
@@ -46,7 +46,7 @@
 }
 
 gboolean
-ft_machine_table_is_back (FtMachineTable *table, const char *name, guint64 incarnation)
+ft_machine_table_readmit (FtMachineTable *table, const char *name, guint64 incarnation)
 {
   const guint64 *last = g_hash_table_lookup (table->gone, name);
   /* While the table has the machine, a request to it or about it is in flight. */
--- a/src/core/machine_table.h
+++ b/src/core/machine_table.h
@@ -34,8 +34,8 @@
 gboolean ft_machine_table_is_gone (const FtMachineTable *table, const char *name);
 
 /* Forgets that the machine is gone if it reports an incarnation that began after that: it is back under its old name,
- * or was returned late. Returns whether it is. */
-gboolean ft_machine_table_is_back (FtMachineTable *table, const char *name, guint64 incarnation);
+ * or was returned late. Returns whether it did. */
+gboolean ft_machine_table_readmit (FtMachineTable *table, const char *name, guint64 incarnation);
 
 /* Marks the machine as returned or failed and ends all attempts on it. `reason` is logged. The machine stays in the
  * table while a request to or about it is in flight. */
--- a/src/core/machine_watch.c
+++ b/src/core/machine_watch.c
@@ -15,8 +15,7 @@
       || !ft_reachability_lease_over (&machine->reachability, machine->context))
     return;
   g_message ("machine %s: incarnation %" G_GUINT64_FORMAT
-             " expired (its worker lease has run out; reckoned from %s, %.1f s "
-             "ago)",
+             " expired (its worker lease has run out; reckoned from %s, %.1f s ago)",
              machine->name, machine->incarnation, ft_reachability_lease_event (&machine->reachability),
              (double) (machine->context->now - machine->reachability.lease_from) / FT_SECOND);
   machine->expired_incarnation = machine->incarnation;
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -160,8 +160,7 @@
   guint up;          /* machines whose heartbeats arrive */
   guint unused;      /* of those, machines that may get no new work */
   guint quarantined; /* of those, machines that are quarantined */
-  guint
-      overdue; /* machines in any state that may still run tasks whose jobs were cancelled over half of cancel_s ago */
+  guint overdue;     /* machines in any state that may run tasks cancelled over half of cancel_s ago */
 } FtMachineCounts;
 /* Counts the machines by what operators have to know of them. */
 FtMachineCounts ft_scheduler_count_machines (const FtScheduler *scheduler);
--- a/src/core/scheduler_workers.c
+++ b/src/core/scheduler_workers.c
@@ -29,7 +29,7 @@
   if (!ft_recovery_is_loaded (&scheduler->recovery))
     return FT_HEARTBEAT_NOT_LOADED;
   if (ft_machine_table_is_gone (&scheduler->machine_table, heartbeat->machine)
-      && !ft_machine_table_is_back (&scheduler->machine_table, heartbeat->machine, heartbeat->incarnation))
+      && !ft_machine_table_readmit (&scheduler->machine_table, heartbeat->machine, heartbeat->incarnation))
     return FT_HEARTBEAT_MACHINE_GONE;
   FtMachine *machine = ft_worker_heartbeats_machine (&scheduler->worker_heartbeats, heartbeat);
   FtHeartbeatOutcome outcome = apply_status (scheduler, machine, heartbeat, TRUE);
--- a/tests/scheduler_harness.hpp
+++ b/tests/scheduler_harness.hpp
@@ -100,6 +100,15 @@
     g_autoptr (FtWorkerHeartbeat) heartbeat = new_heartbeat (1, 1, 3, "n-2");
     ASSERT_TRUE (ft_scheduler_heartbeat (scheduler, heartbeat, now));
   }
+  // Adds a job of one task, and returns the direct request that carries its start; the caller frees it. NULL: the task
+  // is not started directly.
+  FtDirectRequest *
+  start_directly (const char *ref, guint64 revision, gint64 now)
+  {
+    ft_scheduler_job_added (scheduler, new_job_spec (ref, 1), revision, now, 0);
+    ft_scheduler_place (scheduler, now, TRUE);
+    return ft_scheduler_next_direct_request (scheduler, now);
+  }
   // Processes a heartbeat with those tasks, runs a placement pass and returns the commands in the heartbeat's
   // answer; the caller owns them.
   GArray *
--- a/tests/test_cancelled_task_combinations.cpp
+++ b/tests/test_cancelled_task_combinations.cpp
@@ -127,20 +127,16 @@
     switch (reach ()) {
     case Reach::kCommands:
       machine->stop_reporting (world.now + kPartlyReachable);
-      unreachable_until = world.now;
       break;
     case Reach::kHeartbeats:
       machine->stop_reporting (world.now); // it may have been unable to report until now
       machine->lose_commands (world.now + kPartlyReachable);
-      unreachable_until = world.now;
       break;
     case Reach::kNothingUntilLateInLease:
-      unreachable_until = lease_ends_at - kBeforeLeaseEnds;
-      make_unreachable (unreachable_until);
+      make_unreachable (lease_ends_at - kBeforeLeaseEnds);
       break;
     case Reach::kNothingUntilAfterLease:
-      unreachable_until = lease_ends_at + kAfterLeaseEnds;
-      make_unreachable (unreachable_until);
+      make_unreachable (lease_ends_at + kAfterLeaseEnds);
       break;
     }
   }
@@ -180,7 +176,6 @@
   }
 
   Time started_at = 0; // when the start that the machine executes was sent
-  Time unreachable_until = 0;
   bool cancellation_requested = false;
 };
 
--- a/tests/test_late_machines.cpp
+++ b/tests/test_late_machines.cpp
@@ -30,9 +30,7 @@
 TEST (LateMachines, TaskThatStartedAtAnOldAddressIsKnownAndStopped)
 {
   OneMachine harness;
-  ft_scheduler_job_added (harness.scheduler, new_job_spec ("req-1", 1), 5, 101 * kS, 0);
-  ft_scheduler_place (harness.scheduler, 101 * kS, TRUE);
-  FtDirectRequest *direct = ft_scheduler_next_direct_request (harness.scheduler, 101 * kS);
+  FtDirectRequest *direct = harness.start_directly ("req-1", 5, 101 * kS);
   ASSERT_NE (direct, nullptr);
   harness.second_machine_up (101 * kS);
   guint64 attempt = g_array_index (direct->commands, FtCommand, 0).attempt;
--- a/tests/test_scheduler_commands.cpp
+++ b/tests/test_scheduler_commands.cpp
@@ -44,9 +44,7 @@
 TEST (Scheduler, StopIsClearedIfTheDirectStartWasLost)
 {
   OneMachine harness;
-  ft_scheduler_job_added (harness.scheduler, new_job_spec ("req-1", 1), 5, 101 * kS, 0);
-  ft_scheduler_place (harness.scheduler, 101 * kS, TRUE);
-  FtDirectRequest *direct = ft_scheduler_next_direct_request (harness.scheduler, 101 * kS);
+  FtDirectRequest *direct = harness.start_directly ("req-1", 5, 101 * kS);
   ASSERT_NE (direct, nullptr);
   ft_scheduler_direct_request_done (harness.scheduler, direct, FT_DIRECT_UNANSWERED, nullptr, 103 * kS);
   ft_direct_request_free (direct);
@@ -61,9 +59,7 @@
 TEST (Scheduler, TaskStartedDirectlyOnAMachineBeingReturnedCountsUntilItIsGone)
 {
   OneMachine harness;
-  ft_scheduler_job_added (harness.scheduler, new_job_spec ("req-1", 1), 5, 101 * kS, 0);
-  ft_scheduler_place (harness.scheduler, 101 * kS, TRUE);
-  FtDirectRequest *direct = ft_scheduler_next_direct_request (harness.scheduler, 101 * kS);
+  FtDirectRequest *direct = harness.start_directly ("req-1", 5, 101 * kS);
   ASSERT_NE (direct, nullptr);
   ft_machine_terminate (harness.machine ("n-1"), "its interruption notice has run out");
   g_autoptr (FtWorkerHeartbeat) status = harness.new_heartbeat (1, 2, 3);
--- a/tests/test_start_in_doubt.cpp
+++ b/tests/test_start_in_doubt.cpp
@@ -86,9 +86,7 @@
   SchedulerHarness harness ({ 3, 1000 });
   ft_scheduler_loaded (harness.scheduler, 100 * kS);
   harness.machine_up (100 * kS);
-  ft_scheduler_job_added (harness.scheduler, new_job_spec ("req-1", 1), 5, 101 * kS, 0);
-  ft_scheduler_place (harness.scheduler, 101 * kS, TRUE);
-  FtDirectRequest *direct = ft_scheduler_next_direct_request (harness.scheduler, 101 * kS);
+  FtDirectRequest *direct = harness.start_directly ("req-1", 5, 101 * kS);
   ASSERT_NE (direct, nullptr);
   ft_scheduler_direct_request_done (harness.scheduler, direct, FT_DIRECT_UNANSWERED, nullptr, 103 * kS);
   ft_direct_request_free (direct);
